Thin whole path: three routers, a stream, an order, a bill

Cause: nothing stood yet; later work needs one real request end to end with every part of the frame a process of its own. Ruled out: one process with threads for the stand-ins, since kills and freezes must hit real processes. Before: no build.

--- /dev/null
+++ b/cmake/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formats every source file, or with --check says which are not formatted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
+if [ "${1:-}" = --check ]; then
+    clang-format --dry-run --Werror "${files[@]}"
+else
+    clang-format -i "${files[@]}"
+fi
--- /dev/null
+++ b/include/rhubarbgrade/detail/base/errc.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <system_error> // error_category, error_code, is_error_code_enum
+
+namespace rhubarbgrade
+{
+
+/// @brief The kinds of failure. The numbers are stable and appear in messages.
+///
+/// 1xx configuration and settings, 2xx budgets, 3xx requests, 4xx endpoints,
+/// 5xx the platform, 6xx other routers.
+enum class errc
+{
+    syntax = 101,            ///< a TOML file can't be parsed
+    unknown_key = 102,       ///< a key that no object of its kind has
+    wrong_type = 103,        ///< a value of another type than the key's
+    out_of_range = 104,      ///< a value outside its range
+    missing_key = 105,       ///< a required key is absent
+    duplicate_name = 106,    ///< two objects of a kind with one name
+    unknown_reference = 107, ///< a name that no object has
+    clash = 108,             ///< objects or settings that contradict
+    unreadable = 109,        ///< a file or folder can't be read
+
+    budget_exhausted = 201,   ///< the prepaid budget does not cover a request
+    tokens_elsewhere = 202,   ///< tokens remain, but not within reach now
+    ledger_closed = 203,      ///< the second host has closed this ledger
+    second_unreachable = 204, ///< the second host does not acknowledge
+    not_registered = 205,     ///< this router holds no registered ledger yet
+    bad_operation = 206,      ///< a ledger operation that does not apply
+
+    bad_request = 301,       ///< a request that can't be understood
+    unauthorized = 302,      ///< no key, or an unknown one
+    not_found = 303,         ///< no such model or route
+    overloaded = 304,        ///< no slot became free in time
+    key_in_use = 305,        ///< an idempotency key whose outcome is unknown
+    key_expired = 306,       ///< an idempotency key past its lifetime
+    claim_unavailable = 307, ///< a key can't be claimed now
+    quarantined = 308,       ///< a request that crashed endpoints
+    too_large = 309,         ///< a body over its limit
+
+    connect_failed = 401,  ///< no connection to an endpoint
+    endpoint_failed = 402, ///< an endpoint answered with an error
+    outcome_unknown = 403, ///< a request may have run
+    no_endpoint = 404,     ///< no usable endpoint for a service
+    stream_broken = 405,   ///< a stream ended before its last event
+
+    platform_unreachable = 501, ///< the platform does not answer
+    conflict = 502,             ///< a conditional update lost its race
+    absent = 503,               ///< no such object
+    malformed = 504,            ///< a value that can't be decoded
+
+    peer_unreachable = 601, ///< another router does not answer
+    refused_by_peer = 602,  ///< another router refused a call
+};
+
+/// @brief The category of @ref errc, named "rhubarbgrade".
+const std::error_category& rhubarbgrade_category() noexcept;
+
+/// @brief Makes an error code of @a code; found by argument-dependent lookup.
+std::error_code make_error_code(errc code) noexcept;
+
+} // namespace rhubarbgrade
+
+template <>
+struct std::is_error_code_enum<rhubarbgrade::errc> : std::true_type
+{
+};
--- /dev/null
+++ b/include/rhubarbgrade/detail/config/load.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>         // map
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <rhubarbgrade/detail/base/error.hpp>     // result
+#include <rhubarbgrade/detail/config/objects.hpp> // object_set
+#include <rhubarbgrade/detail/config/problem.hpp> // problems_t
+
+namespace rhubarbgrade
+{
+
+/// @brief The text of each TOML file of a set, by file name.
+using file_texts_t = std::map<std::string, std::string>;
+
+/// @brief Reads every .toml file of a folder, not of folders in it.
+/// @param[in] folder  the folder
+/// @return the texts, or @ref errc::unreadable
+result<file_texts_t> read_folder(const std::string& folder);
+
+/// @brief Reads the objects of one file into a set.
+/// @param[in] file        name of the file, for messages
+/// @param[in] text        its TOML text
+/// @param[in,out] set     receives the objects
+/// @param[in,out] faults  receives every fault; a faulty object is left out
+void load_file(const std::string& file, std::string_view text, object_set& set,
+               problems_t& faults);
+
+/// @brief Reads the objects of all files.
+object_set load_files(const file_texts_t& files, problems_t& faults);
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/base/address.cpp
@@ -0,0 +1,22 @@
+#include <rhubarbgrade/detail/base/address.hpp>
+
+#include <charconv>    // from_chars
+#include <string>      // string
+#include <string_view> // string_view
+#include <utility>     // pair
+
+namespace rhubarbgrade
+{
+
+std::pair<std::string, int> split_address(std::string_view address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+        return {std::string(address), -1};
+    int port = -1;
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                    port);
+    return {std::string(address.substr(0, colon)), port};
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/membership/members.cpp
@@ -0,0 +1,138 @@
+#include <rhubarbgrade/detail/membership/members.hpp>
+
+#include <algorithm>   // find_if, rotate, sort
+#include <cstdint>     // uint64_t
+#include <span>        // span
+#include <string>      // string
+#include <string_view> // string_view
+#include <utility>     // pair
+#include <vector>      // vector
+
+#include <rhubarbgrade/detail/base/hash.hpp> // hash64
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+bool newer(const member_beat& beat, const member_beat& known)
+{
+    return std::pair(beat.incarnation, beat.count) >
+           std::pair(known.incarnation, known.count);
+}
+
+std::string_view zone_of(const members_t& members, std::string_view host)
+{
+    const auto found = members.find(host);
+    return found == members.end() ? std::string_view()
+                                  : found->second.listed.zone;
+}
+
+/// The hosts of a zone on the hash ring, the one after `self` first.
+std::vector<std::string> ring_after(const members_t& members,
+                                    std::string_view zone,
+                                    std::string_view self)
+{
+    using place = std::pair<std::uint64_t, std::string>;
+    std::vector<place> ring;
+    for (const auto& [name, who] : members)
+        if (who.listed.zone == zone)
+            ring.emplace_back(hash64(name), name);
+    std::sort(ring.begin(), ring.end());
+    const auto own = std::find_if(ring.begin(), ring.end(),
+                                  [self](const place& entry)
+                                  {
+                                      return entry.second == self;
+                                  });
+    if (own != ring.end())
+        std::rotate(ring.begin(), own, ring.end());
+    std::vector<std::string> hosts;
+    for (const auto& [hash, name] : ring)
+        if (name != self)
+            hosts.push_back(name);
+    return hosts;
+}
+
+} // namespace
+
+void merge_list(members_t& members, std::span<const listed_host> list)
+{
+    members_t now;
+    for (const auto& entry : list)
+    {
+        auto& slot = now[entry.name];
+        const auto known = members.find(entry.name);
+        if (known != members.end())
+            slot = known->second;
+        slot.listed = entry;
+        slot.beat.host = entry.name;
+    }
+    members = std::move(now);
+}
+
+void merge_beats(members_t& members, std::span<const member_beat> beats,
+                 time_point_t now)
+{
+    for (const auto& beat : beats)
+    {
+        const auto found = members.find(beat.host);
+        if (found == members.end() || !newer(beat, found->second.beat))
+            continue;
+        found->second.beat = beat;
+        found->second.heard = now;
+    }
+}
+
+bool alive(const member& who, time_point_t now, milliseconds silence)
+{
+    return who.heard != time_point_t{} && now - who.heard <= silence;
+}
+
+std::vector<std::string> live_hosts(const members_t& members,
+                                    std::string_view zone,
+                                    std::string_view self, time_point_t now,
+                                    milliseconds silence)
+{
+    std::vector<std::string> hosts;
+    for (const auto& [name, who] : members)
+    {
+        const bool counts = name == self || alive(who, now, silence);
+        if (who.listed.zone == zone && counts)
+            hosts.push_back(name);
+    }
+    return hosts;
+}
+
+std::vector<std::string> beat_targets(const members_t& members,
+                                      std::string_view self, std::size_t fanout,
+                                      const random_source_t& random)
+{
+    const auto zone = zone_of(members, self);
+    auto targets = ring_after(members, zone, self);
+    if (targets.size() > fanout)
+        targets.resize(fanout);
+    std::vector<std::string> elsewhere;
+    for (const auto& [name, who] : members)
+        if (who.listed.zone != zone)
+            elsewhere.push_back(name);
+    if (!elsewhere.empty())
+        targets.push_back(elsewhere[random() % elsewhere.size()]);
+    return targets;
+}
+
+std::string choose_second(const members_t& members, std::string_view self,
+                          time_point_t now, milliseconds silence)
+{
+    const auto hosts = ring_after(members, zone_of(members, self), self);
+    for (const bool accept_leaving : {false, true})
+        for (const auto& host : hosts)
+        {
+            const auto& who = members.find(host)->second;
+            const bool leaving = who.listed.leaving || who.beat.leaving;
+            if (alive(who, now, silence) && (accept_leaving || !leaving))
+                return host;
+        }
+    return {};
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/moves/ramp.cpp
@@ -0,0 +1,121 @@
+#include <rhubarbgrade/detail/moves/ramp.hpp>
+
+#include <algorithm> // clamp, max, min
+#include <chrono>    // duration, milliseconds
+#include <string>    // string, to_string
+
+#include <rhubarbgrade/detail/base/hash.hpp> // hash_hex
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+using std::chrono::duration;
+
+/// Part of the time from start to deadline after which all traffic should
+/// have moved.
+constexpr double ramp_part = 0.8;
+
+/// Steps that the whole time is divided into.
+constexpr double steps = 16;
+constexpr std::chrono::milliseconds shortest_step{500};
+
+double progress(const move& plan, wall_time_t now)
+{
+    const duration<double> whole = plan.deadline - plan.start;
+    const duration<double> gone = now - plan.start;
+    return std::clamp(gone / (whole * ramp_part), 0.0, 1.0);
+}
+
+wall_time_t::duration step_time(const move& plan)
+{
+    const auto part = std::chrono::duration_cast<wall_time_t::duration>(
+        (plan.deadline - plan.start) / steps);
+    return std::max<wall_time_t::duration>(part, shortest_step);
+}
+
+double next_share(const move& plan, const move_progress& before,
+                  const judgement& found, wall_time_t now)
+{
+    const double cap = plan.unproved_share;
+    if (found.is != verdict::good && before.share <= cap)
+        return cap;
+    const double line = cap + (1 - cap) * progress(plan, now);
+    const bool may_step = now - before.stepped >= step_time(plan);
+    if (!may_step || found.is != verdict::good)
+        return before.share;
+    const double doubled = std::max(cap, before.share) * 2;
+    return std::max(before.share, std::min({1.0, line, doubled}));
+}
+
+bool is_final(move_state state)
+{
+    return state == move_state::done || state == move_state::taken_back;
+}
+
+} // namespace
+
+const char* to_string(move_state state)
+{
+    switch (state)
+    {
+    case move_state::pending:
+        return "pending";
+    case move_state::ramping:
+        return "ramping";
+    case move_state::late:
+        return "late";
+    case move_state::done:
+        return "done";
+    case move_state::taken_back:
+        return "taken back";
+    }
+    return "unknown";
+}
+
+move_progress advance(const move& plan, const move_progress& before,
+                      const judgement& found, wall_time_t now)
+{
+    if (is_final(before.state) || now < plan.start)
+        return before;
+    move_progress after = before;
+    if (found.is == verdict::bad)
+    {
+        after.state = move_state::taken_back;
+        after.share = 0;
+        after.reason = found.reason;
+        return after;
+    }
+    after.share = next_share(plan, before, found, now);
+    if (after.share > before.share)
+        after.stepped = now;
+    after.state = now >= plan.deadline ? move_state::late : move_state::ramping;
+    if (after.share >= 1)
+        after.state = move_state::done;
+    return after;
+}
+
+void merge(move_progress& mine, move_state theirs, const std::string& reason)
+{
+    const bool taken_back = theirs == move_state::taken_back;
+    const bool done = theirs == move_state::done;
+    if (mine.state == move_state::taken_back || (!taken_back && !done))
+        return;
+    mine.state = theirs;
+    mine.share = done ? 1 : 0;
+    mine.reason = reason;
+}
+
+std::string move_key(const move& plan)
+{
+    const auto start = plan.start.time_since_epoch().count();
+    const auto deadline = plan.deadline.time_since_epoch().count();
+    const auto content = plan.service + "\n" + plan.from + "\n" + plan.to +
+                         "\n" + std::to_string(start) + "\n" +
+                         std::to_string(deadline) + "\n" +
+                         std::to_string(plan.unproved_share);
+    return plan.name + "-" + hash_hex(content).substr(0, 8);
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/platform/platform_worker.cpp
@@ -0,0 +1,188 @@
+#include "platform_worker.hpp"
+
+#include <chrono>     // steady_clock
+#include <memory>     // shared_ptr
+#include <mutex>      // unique_lock
+#include <stop_token> // stop_token
+#include <string>     // string
+#include <utility>    // move
+
+#include <nlohmann/json.hpp> // json
+#include <spdlog/spdlog.h>   // logger
+
+#include <rhubarbgrade/detail/membership/members.hpp> // listed_host
+
+#include "../control/control_core.hpp" // control_core
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+using nlohmann::json;
+using std::chrono::steady_clock;
+
+constexpr milliseconds call_timeout{1000};
+constexpr milliseconds moves_interval{1000};
+constexpr int leave_rounds = 20;
+
+std::string move_end_name(const std::string& key)
+{
+    return "moves/" + key;
+}
+
+} // namespace
+
+platform_worker::platform_worker(const settings& read, control_loop control,
+                                 std::shared_ptr<spdlog::logger> log)
+    : m_settings(read),
+      m_control(control),
+      m_log(std::move(log)),
+      m_api(read.platform, call_timeout),
+      m_budgets(m_settings, control, m_api, m_log),
+      m_registrar(m_settings, control, m_api, m_budgets, m_log),
+      m_thread(
+          [this](const std::stop_token& stop)
+          {
+              run(stop);
+          })
+{
+}
+
+platform_worker::~platform_worker() = default;
+
+void platform_worker::wake()
+{
+    const std::lock_guard lock(m_mutex);
+    m_wake = true;
+    m_woken.notify_all();
+}
+
+void platform_worker::run(const std::stop_token& stop)
+{
+    while (!stop.stop_requested())
+    {
+        round();
+        std::unique_lock lock(m_mutex);
+        m_woken.wait_for(lock, stop, m_settings.flush,
+                         [this]
+                         {
+                             return m_wake;
+                         });
+        m_wake = false;
+    }
+}
+
+void platform_worker::round()
+{
+    if (due(m_hosts_read, m_settings.host_poll))
+        read_hosts();
+    m_registrar.pair_own();
+    m_registrar.close_others();
+    m_registrar.exchange_ended();
+    const bool reached = m_budgets.round(false);
+    m_control.run(
+        [&](control_core& core)
+        {
+            core.grants().finish_round(reached);
+        });
+    if (due(m_moves_read, moves_interval))
+        exchange_moves();
+}
+
+bool platform_worker::due(time_point_t& last, milliseconds interval)
+{
+    const auto now = steady_clock::now();
+    if (now - last < interval)
+        return false;
+    last = now;
+    return true;
+}
+
+void platform_worker::read_hosts()
+{
+    auto hosts = m_api.hosts();
+    if (hosts)
+        m_control.run(
+            [&](control_core& core)
+            {
+                core.take_hosts(std::move(*hosts));
+            });
+}
+
+void platform_worker::exchange_moves()
+{
+    std::vector<move_end> ends;
+    std::vector<std::string> open;
+    m_control.run(
+        [&](control_core& core)
+        {
+            ends = core.moves().ends();
+            for (const auto& [name, plan] :
+                 core.configuration().objects()->moves)
+                open.push_back(move_key(plan));
+        });
+    for (const auto& end : ends)
+    {
+        std::erase(open, end.key);
+        if (m_moves_written.contains(end.key))
+            continue;
+        const json value{{"taken_back", end.state == move_state::taken_back},
+                         {"reason", end.reason}};
+        const auto made = m_api.create(move_end_name(end.key), value.dump());
+        if (made || made.error().code == errc::conflict)
+            m_moves_written.insert(end.key);
+    }
+    std::vector<move_end> learned;
+    for (const auto& key : open)
+    {
+        const auto object = m_api.read(move_end_name(key));
+        if (!object)
+            continue;
+        const auto value = json::parse(object->value, nullptr, false);
+        const bool back = value.value("taken_back", false);
+        learned.push_back({key,
+                           back ? move_state::taken_back : move_state::done,
+                           value.value("reason", "")});
+    }
+    if (!learned.empty())
+        m_control.run(
+            [&](control_core& core)
+            {
+                core.moves().merge_ends(learned);
+            });
+}
+
+void platform_worker::leave()
+{
+    m_thread.request_stop();
+    wake();
+    if (m_thread.joinable())
+        m_thread.join();
+    const auto id = m_control.run(
+        [](control_core& core)
+        {
+            return core.owner().book().id;
+        });
+    m_control.run(
+        [](control_core& core)
+        {
+            core.grants().return_all();
+        });
+    for (int round = 0; round < leave_rounds; ++round)
+    {
+        const bool reached = m_budgets.round(true);
+        if (!reached || m_budgets.idle())
+            break;
+    }
+    const bool empty = m_control.run(
+        [](control_core& core)
+        {
+            const auto& book = core.owner().book();
+            return book.bills.empty() && book.reservations.empty();
+        });
+    if (!id.host.empty() && empty && m_budgets.idle())
+        m_registrar.end_own(id);
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/router/router_server.cpp
@@ -0,0 +1,172 @@
+#include "router_server.hpp"
+
+#include <chrono> // steady_clock
+#include <string> // string
+
+#include "../control/control_core.hpp" // control_core
+#include "codec.hpp"                   // read
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+capnp::Data::Reader bytes(const std::string& from)
+{
+    return {reinterpret_cast<const capnp::byte*>(from.data()), from.size()};
+}
+
+protocol::ReplicateStatus to_wire(replica_answer answer)
+{
+    switch (answer)
+    {
+    case replica_answer::ok:
+        return protocol::ReplicateStatus::OK;
+    case replica_answer::reset:
+    case replica_answer::silent:
+        return protocol::ReplicateStatus::RESET;
+    case replica_answer::closing:
+        return protocol::ReplicateStatus::CLOSING;
+    case replica_answer::closed:
+        break;
+    }
+    return protocol::ReplicateStatus::CLOSED;
+}
+
+protocol::ClaimStatus to_wire(claim_status status)
+{
+    switch (status)
+    {
+    case claim_status::claimed:
+        return protocol::ClaimStatus::CLAIMED;
+    case claim_status::answered:
+        return protocol::ClaimStatus::ANSWERED;
+    case claim_status::pending:
+        return protocol::ClaimStatus::PENDING;
+    case claim_status::not_owner:
+        return protocol::ClaimStatus::NOT_OWNER;
+    case claim_status::unavailable:
+        break;
+    }
+    return protocol::ClaimStatus::UNAVAILABLE;
+}
+
+} // namespace
+
+router_server::router_server(control_core& core) : m_core(core)
+{
+}
+
+kj::Promise<void> router_server::beat(BeatContext context)
+{
+    m_core.take_beat(read(context.getParams().getBeat()));
+    write(context.getResults().initBeat(), m_core.make_beat());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> router_server::replicate(ReplicateContext context)
+{
+    const auto from = context.getParams();
+    replica_message message;
+    message.ledger = read(from.getLedger());
+    message.second.boot = from.getSecondBoot();
+    message.session = from.getSession();
+    message.sync = from.getSync();
+    message.first = from.getFirst();
+    for (const auto step : from.getOperations())
+        message.operations.push_back(read(step));
+    const auto answer = m_core.replicas().apply_message(
+        message, std::chrono::steady_clock::now());
+    context.getResults().setStatus(to_wire(answer));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> router_server::give(GiveContext context)
+{
+    const auto from = context.getParams();
+    return m_core.grants()
+        .give(from.getCustomer().cStr(), from.getTokens(),
+              read(from.getAsker()), from.getNumber())
+        .then(
+            [context](token_count_t tokens) mutable
+            {
+                context.getResults().setTokens(tokens);
+            });
+}
+
+kj::Promise<void> router_server::handBack(HandBackContext context)
+{
+    const auto from = context.getParams();
+    return m_core.grants()
+        .hand_back(from.getCustomer().cStr(), from.getTokens())
+        .then(
+            [context](token_count_t tokens) mutable
+            {
+                context.getResults().setTokens(tokens);
+            });
+}
+
+kj::Promise<void> router_server::manifest(ManifestContext context)
+{
+    context.getResults().setText(bytes(m_core.configuration().manifest_text()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> router_server::part(PartContext context)
+{
+    const auto* const text =
+        m_core.configuration().part(context.getParams().getDigest().cStr());
+    if (text != nullptr)
+        context.getResults().setText(bytes(*text));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> router_server::findRequest(FindRequestContext context)
+{
+    const auto endpoint =
+        m_core.find_here(context.getParams().getRequest().cStr());
+    context.getResults().setFound(!endpoint.empty());
+    context.getResults().setEndpoint(endpoint.c_str());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> router_server::claim(ClaimContext context)
+{
+    const auto from = context.getParams();
+    const claim_call call{read(from.getOwner()), from.getKey().cStr(),
+                          from.getRequest().cStr()};
+    return m_core.claim_here(call).then(
+        [context](claim_answer answer) mutable
+        {
+            auto to = context.getResults();
+            to.setStatus(to_wire(answer.status));
+            to.setAnswerStatus(answer.answer_status);
+            to.setContentType(answer.content_type.c_str());
+            to.setBody(bytes(answer.body));
+        });
+}
+
+kj::Promise<void> router_server::answer(AnswerContext context)
+{
+    const auto from = context.getParams();
+    const auto owner = read(from.getOwner());
+    if (!m_core.owns_keys_of(owner))
+        return kj::READY_NOW;
+    const auto body = from.getBody();
+    return m_core.answer(
+        owner,
+        {from.getKey().cStr(), from.getStatus(), from.getContentType().cStr(),
+         std::string(reinterpret_cast<const char*>(body.begin()),
+                     body.size())});
+}
+
+kj::Promise<void> router_server::dropClaim(DropClaimContext context)
+{
+    const auto from = context.getParams();
+    const auto owner = read(from.getOwner());
+    if (!m_core.owns_keys_of(owner))
+        return kj::READY_NOW;
+    return m_core.drop_claim(owner, from.getKey().cStr());
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/routing/ejection.cpp
@@ -0,0 +1,42 @@
+#include <rhubarbgrade/detail/routing/ejection.hpp>
+
+#include <algorithm> // min
+#include <chrono>    // seconds
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+constexpr int failures_to_eject = 3;
+constexpr std::chrono::seconds first_ejection{2};
+constexpr int most_doublings = 4;
+
+} // namespace
+
+bool note_end(endpoint_health& health, bool good, std::size_t ejected,
+              std::size_t endpoints, time_point_t now)
+{
+    if (good)
+    {
+        health.failures_in_turn = 0;
+        health.ejections = 0;
+        return false;
+    }
+    health.failures_in_turn++;
+    const bool room = 2 * (ejected + 1) <= endpoints;
+    if (health.failures_in_turn < failures_to_eject || !room)
+        return false;
+    const int doublings = std::min(health.ejections, most_doublings);
+    health.ejected_until = now + first_ejection * (1 << doublings);
+    health.ejections++;
+    health.failures_in_turn = 0;
+    return true;
+}
+
+bool usable(const endpoint_health& health, time_point_t now)
+{
+    return now >= health.ejected_until;
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/routing/quarantine.cpp
@@ -0,0 +1,49 @@
+#include <rhubarbgrade/detail/routing/quarantine.hpp>
+
+#include <algorithm> // max
+#include <chrono>    // hours
+#include <string>    // string
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+constexpr std::chrono::hours quarantine_time{1};
+
+} // namespace
+
+bool note_crash(quarantine& known, const std::string& fingerprint,
+                time_point_t now)
+{
+    auto& entry = known.entries[fingerprint];
+    entry.crashes++;
+    entry.last = now;
+    return entry.crashes >= quarantine_crashes;
+}
+
+void note_quarantined(quarantine& known, const std::string& fingerprint,
+                      time_point_t now)
+{
+    auto& entry = known.entries[fingerprint];
+    entry.crashes = std::max(entry.crashes, quarantine_crashes);
+    entry.last = now;
+}
+
+bool quarantined(const quarantine& known, std::string_view fingerprint)
+{
+    const auto found = known.entries.find(fingerprint);
+    return found != known.entries.end() &&
+           found->second.crashes >= quarantine_crashes;
+}
+
+void expire(quarantine& known, time_point_t now)
+{
+    std::erase_if(known.entries,
+                  [now](const auto& item)
+                  {
+                      return now - item.second.last > quarantine_time;
+                  });
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/routing/retry.cpp
@@ -0,0 +1,34 @@
+#include <rhubarbgrade/detail/routing/retry.hpp>
+
+#include <algorithm> // min
+
+namespace rhubarbgrade
+{
+namespace
+{
+
+constexpr double retries_per_request = 0.1;
+constexpr double most_tokens = 10;
+constexpr int most_attempts = 3;
+
+} // namespace
+
+void note_request(retry_budget& budget)
+{
+    budget.tokens = std::min(most_tokens, budget.tokens + retries_per_request);
+}
+
+bool may_retry(retry_budget& budget, attempt_end end, bool idempotent,
+               int attempts, time_point_t now, time_point_t deadline)
+{
+    const bool safe =
+        end == attempt_end::not_sent || end == attempt_end::refused;
+    if (!safe && !idempotent)
+        return false;
+    if (attempts >= most_attempts || now >= deadline || budget.tokens < 1)
+        return false;
+    budget.tokens -= 1;
+    return true;
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/tests/standin/listen.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <sys/socket.h> // listen, setsockopt
+
+#include <iostream> // cout
+
+#include <httplib.h> // Server
+
+namespace standin
+{
+
+/// @brief Serves on loopback; prints the port, 0 takes one from the kernel.
+inline void listen(httplib::Server& server, int port)
+{
+    constexpr int backlog = 1024;
+    int listener = -1;
+    server.set_tcp_nodelay(true);
+    server.set_socket_options(
+        [&listener](int socket)
+        {
+            const int on = 1;
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+            listener = socket;
+        });
+    if (port == 0)
+        port = server.bind_to_any_port("127.0.0.1");
+    else
+        server.bind_to_port("127.0.0.1", port);
+    ::listen(listener, backlog);
+    std::cout << "listening " << port << std::endl;
+    server.listen_after_bind();
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standin/service.cpp
@@ -0,0 +1,82 @@
+// Stand-in for a plain service whose calls may not be repeated.
+//
+//   POST|GET any path   200 {"run": N}; the record keeps the key and the path
+//   GET  /load          200 {running, draining}
+//   PUT  /fault         (tests) {delay_ms, die_after_run}
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <string>
+
+#include <gflags/gflags.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "listen.hpp"
+#include "record.hpp"
+
+DEFINE_int32(port, 0, "port to listen on, 0 for one from the kernel");
+DEFINE_string(record, "/dev/null", "file for the record of runs");
+DEFINE_string(name, "service", "name in the record");
+
+using nlohmann::json;
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    standin::record log(FLAGS_record);
+    std::atomic<int> runs{0}, running{0}, delay_ms{0};
+    std::atomic<bool> die_after_run{false}, draining{false};
+    httplib::Server server;
+    server.new_task_queue = []
+    {
+        return new httplib::ThreadPool(200);
+    };
+    server.set_keep_alive_max_count(1000000);
+    server.Get("/load",
+               [&](const httplib::Request&, httplib::Response& response)
+               {
+                   const json load{{"running", running.load()},
+                                   {"draining", draining.load()}};
+                   response.set_content(load.dump(), "application/json");
+               });
+    server.Put("/fault",
+               [&](const httplib::Request& request, httplib::Response&)
+               {
+                   const auto wanted = json::parse(request.body);
+                   delay_ms = wanted.value("delay_ms", 0);
+                   die_after_run = wanted.value("die_after_run", false);
+                   draining = wanted.value("draining", false);
+               });
+    const auto serve =
+        [&](const httplib::Request& request, httplib::Response& response)
+    {
+        running++;
+        const int run = ++runs;
+        log.append({{"event", "run"},
+                    {"service", FLAGS_name},
+                    {"id", request.get_header_value("X-Request-Id")},
+                    {"key", request.get_header_value("Idempotency-Key")},
+                    {"method", request.method},
+                    {"path", request.path}});
+        if (die_after_run)
+            std::_Exit(3);
+        std::mutex mutex;
+        std::condition_variable never;
+        std::unique_lock lock(mutex);
+        never.wait_for(lock, std::chrono::milliseconds(delay_ms.load()),
+                       []
+                       {
+                           return false;
+                       });
+        response.set_content(json{{"run", run}}.dump(), "application/json");
+        running--;
+    };
+    server.Post(".*", serve);
+    server.Get(".*", serve);
+    standin::listen(server, FLAGS_port);
+}
