Integration harness and first proofs: whole path, dead and frozen hosts

Cause: the path had run only by hand; two faults showed at the first runs. 1. Six requests at once on a fresh router: one false refusal of six. A search for tokens asked for the need of its first waiter, not of all; ruled out the draw size, since the balance covered the six 180 times over. Needs are now summed, and a request that joined a running search gets its own. 2. A graceful stop cut 6 of 6 streams: the HTTP library ends open streams on stop. Ruled out the control thread, whose reservations were still there. The server now stops only after the last request has ended. Also: a harness of real processes with every link behind a fault proxy.

--- a/include/rhubarbgrade/detail/budget/draw.hpp
+++ b/include/rhubarbgrade/detail/budget/draw.hpp
@@ -12,7 +12,7 @@
 struct draw_policy
 {
     std::chrono::seconds horizon{4 * 3600}; ///< demand to be held ahead
-    token_count_t smallest = 2000;          ///< least worth a write, tokens
+    token_count_t smallest = 10000;         ///< least worth a write, tokens
     double solo_share = 0.2; ///< part of a draw that the holder keeps alone
 };
 
--- a/include/rhubarbgrade/detail/caller/traffic.hpp
+++ b/include/rhubarbgrade/detail/caller/traffic.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic> // atomic
 #include <memory> // shared_ptr
 #include <mutex>  // mutex
 
@@ -33,7 +34,8 @@
     objective_log& objectives;
     std::shared_ptr<spdlog::logger> log;
 
-    std::mutex mutex{}; ///< guards the members below
+    std::atomic<int> active{0}; ///< requests being served
+    std::mutex mutex{};         ///< guards the members below
     retry_budget retries{};
     quarantine crashes{}; ///< counted here, not yet told to the zone
 };
--- a/include/rhubarbgrade/detail/control/control_plane.hpp
+++ b/include/rhubarbgrade/detail/control/control_plane.hpp
@@ -47,6 +47,9 @@
     control_plane(const control_plane&) = delete;
     control_plane& operator=(const control_plane&) = delete;
 
+    /// @brief The port in use for other routers.
+    int rpc_port() const;
+
     /// @brief The newest snapshot; never null.
     std::shared_ptr<const routing_snapshot> snapshot() const;
 
--- a/include/rhubarbgrade/detail/control/router.hpp
+++ b/include/rhubarbgrade/detail/control/router.hpp
@@ -26,6 +26,9 @@
     /// @brief Port for callers.
     int port() const;
 
+    /// @brief Port for other routers.
+    int rpc_port() const;
+
     /// @brief Port for operators and the balancer.
     int admin_port() const;
 
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -2,13 +2,15 @@
 
 #include <sys/socket.h> // listen, setsockopt
 
-#include <atomic>    // atomic
-#include <chrono>    // milliseconds
-#include <memory>    // make_shared, make_unique
-#include <stdexcept> // runtime_error
-#include <string>    // string
-#include <thread>    // thread
-#include <utility>   // move
+#include <atomic>             // atomic
+#include <chrono>             // milliseconds
+#include <condition_variable> // condition_variable
+#include <memory>             // make_shared, make_unique
+#include <mutex>              // mutex, unique_lock
+#include <stdexcept>          // runtime_error
+#include <string>             // string
+#include <thread>             // thread
+#include <utility>            // move
 
 #include <httplib.h>         // Server
 #include <nlohmann/json.hpp> // json
@@ -35,6 +37,7 @@
 
 constexpr milliseconds claim_timeout{1000};
 constexpr milliseconds request_timeout{5000};
+constexpr milliseconds end_poll{10};
 constexpr int keep_alive_s = 5;
 constexpr int listen_backlog = 1024;
 constexpr std::size_t requests_per_connection = 1000000;
@@ -86,18 +89,29 @@
 
     int in_flight() const
     {
-        return m_in_flight;
+        return m_traffic.active;
     }
 
     void drain()
     {
         m_draining = true;
+        wait_for_end();
+        // The library ends open streams on stop, so that it comes last.
         m_server.stop();
         if (m_thread.joinable())
             m_thread.join();
     }
 
 private:
+    void wait_for_end() const
+    {
+        std::mutex mutex;
+        std::condition_variable never;
+        std::unique_lock lock(mutex);
+        while (m_traffic.active > 0)
+            never.wait_for(lock, end_poll);
+    }
+
     void configure()
     {
         m_server.set_tcp_nodelay(true);
@@ -129,11 +143,6 @@
                 if (!m_control.snapshot()->ready)
                     response.set_header("Connection", "close");
             });
-        m_server.set_logger(
-            [this](const Request&, const Response&)
-            {
-                m_in_flight--;
-            });
         m_server.set_error_handler(
             [](const Request& request, Response& response)
             {
@@ -159,7 +168,6 @@
     httplib::Server::HandlerResponse check(const Request& request,
                                            Response& response)
     {
-        m_in_flight++;
         const bool shed = connection_queue::shedding();
         const bool sound = sound_framing(request);
         if (sound && !shed && !m_draining)
@@ -287,7 +295,6 @@
     httplib::Server m_server;
     int m_port = 0;
     int m_socket = -1;
-    std::atomic<int> m_in_flight{0};
     std::atomic<bool> m_draining{false};
     std::thread m_thread;
 };
--- a/src/caller/model_call.cpp
+++ b/src/caller/model_call.cpp
@@ -49,6 +49,7 @@
 
 model_call::model_call(traffic& shared, model_job job)
     : m_shared(shared),
+      m_activity(shared.active),
       m_job(std::move(job)),
       m_begin(steady_clock::now()),
       m_deadline(m_begin + m_job.timeout)
--- a/src/caller/model_call.hpp
+++ b/src/caller/model_call.hpp
@@ -7,6 +7,7 @@
 
 #include <rhubarbgrade/detail/base/error.hpp>             // error, result
 #include <rhubarbgrade/detail/base/types.hpp>             // time_point_t
+#include <rhubarbgrade/detail/caller/activity.hpp>        // activity
 #include <rhubarbgrade/detail/caller/model_job.hpp>       // model_job
 #include <rhubarbgrade/detail/caller/problem.hpp>         // run_state
 #include <rhubarbgrade/detail/caller/traffic.hpp>         // traffic
@@ -62,6 +63,7 @@
                           const std::string& address) const;
 
     traffic& m_shared;
+    activity m_activity;
     model_job m_job;
     std::string m_version;
     std::set<std::string> m_excluded;
--- a/src/caller/plain_call.cpp
+++ b/src/caller/plain_call.cpp
@@ -15,6 +15,7 @@
 
 #include <rhubarbgrade/detail/base/hash.hpp>               // hash_hex
 #include <rhubarbgrade/detail/budget/operation.hpp>        // answer_key
+#include <rhubarbgrade/detail/caller/activity.hpp>         // activity
 #include <rhubarbgrade/detail/caller/model_job.hpp>        // authenticate
 #include <rhubarbgrade/detail/caller/problem.hpp>          // write_problem
 #include <rhubarbgrade/detail/control/control_plane.hpp>   // control_plane
@@ -394,6 +395,7 @@
 void serve_plain(traffic& shared, const httplib::Request& request,
                  httplib::Response& response)
 {
+    const activity served(shared.active);
     plain_call(shared, request, response).serve();
 }
 
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -81,6 +81,11 @@
         m_thread.join();
     }
 
+    int rpc_port() const
+    {
+        return m_rpc_port;
+    }
+
     const control_loop& control() const
     {
         return *m_control;
@@ -139,6 +144,7 @@
                 std::string(problem.getDescription().cStr()))));
             return;
         }
+        m_rpc_port = static_cast<int>(receiver->getPort());
         auto serving =
             server.listen(*receiver).eagerlyEvaluate([](kj::Exception&&) {});
         auto ticking = tick_forever(core, timer).eagerlyEvaluate(nullptr);
@@ -177,6 +183,7 @@
     settings m_settings;
     std::shared_ptr<spdlog::logger> m_log;
     std::shared_ptr<const routing_snapshot> m_snapshot;
+    int m_rpc_port = 0;
     control_core* m_core = nullptr;
     std::unique_ptr<control_loop> m_control;
     kj::Own<kj::PromiseFulfiller<void>> m_stop;
@@ -196,6 +203,11 @@
 
 control_plane::~control_plane() = default;
 
+int control_plane::rpc_port() const
+{
+    return m_implementation->rpc_port();
+}
+
 std::shared_ptr<const routing_snapshot> control_plane::snapshot() const
 {
     return m_implementation->snapshot();
--- a/src/control/grant_manager.cpp
+++ b/src/control/grant_manager.cpp
@@ -38,7 +38,8 @@
     : m_policy(policy),
       m_owner(owner),
       m_peers(peers),
-      m_hooks(std::move(hooks))
+      m_hooks(std::move(hooks)),
+      m_tasks(*this)
 {
 }
 
@@ -53,14 +54,25 @@
         return result<void>();
     if (steady_clock::now() < m_lines[customer].exhausted_until)
         return result<void>(tl::unexpected(shortage(customer)));
-    return gather(customer, tokens)
+    m_lines[customer].needed += tokens;
+    // A search that was under way may have begun without this need.
+    const bool joined = m_searches.contains(customer);
+    return gather(customer)
+        .then(
+            [this, customer, tokens, joined]() -> kj::Promise<void>
+            {
+                if (!joined || covered(customer, tokens))
+                    return kj::READY_NOW;
+                return gather(customer);
+            })
         .then(
             [this, request, customer, tokens]() -> result<void>
             {
+                auto& known = m_lines[customer];
+                known.needed -= tokens;
                 if (try_reserve(request, customer, tokens))
                     return {};
-                m_lines[customer].exhausted_until =
-                    steady_clock::now() + exhausted_time;
+                known.exhausted_until = steady_clock::now() + exhausted_time;
                 return tl::unexpected(shortage(customer));
             });
 }
@@ -98,60 +110,53 @@
            (!cut && found->second.shared >= tokens);
 }
 
-kj::Promise<void> grant_manager::gather(const std::string& customer,
-                                        token_count_t tokens)
+kj::Promise<void> grant_manager::gather(const std::string& customer)
+{
+    const bool running = m_searches.contains(customer);
+    auto promise = kj::newPromiseAndFulfiller<void>();
+    m_searches[customer].push_back(kj::mv(promise.fulfiller));
+    if (!running)
+        m_tasks.add(search(customer)
+                        .catch_([](kj::Exception&&) {})
+                        .then(
+                            [this, customer]
+                            {
+                                finish_search(customer);
+                            }));
+    return kj::mv(promise.promise);
+}
+
+void grant_manager::finish_search(const std::string& customer)
 {
-    auto& needed = m_lines[customer].needed;
-    needed = std::max(needed, tokens);
-    const auto running = m_gathering.find(customer);
-    if (running != m_gathering.end())
-        return running->second.addBranch();
-    const auto short_of = [this, customer, tokens]
+    auto waiters = std::move(m_searches[customer]);
+    m_searches.erase(customer);
+    for (auto& waiter : waiters)
+        waiter->fulfill();
+}
+
+kj::Promise<void> grant_manager::search(const std::string& customer)
+{
+    const auto short_of = [this, customer]
     {
-        return !covered(customer, tokens);
+        return !covered(customer, m_lines[customer].needed);
     };
-    auto work =
-        next_round()
-            .then(
-                [this, customer, tokens, short_of]() -> kj::Promise<void>
-                {
-                    return short_of() ? ask_zone(customer, tokens)
-                                      : kj::READY_NOW;
-                })
-            .then(
-                [this, customer, tokens, short_of]() -> kj::Promise<void>
-                {
-                    return short_of() && m_reachable
-                               ? ask_remote(customer, tokens)
-                               : kj::READY_NOW;
-                })
-            .then(
-                [this, customer]
-                {
-                    m_lines[customer].needed = 0;
-                });
-    auto forked = kj::evalLater(
-                      [work = kj::mv(work)]() mutable
-                      {
-                          return kj::mv(work);
-                      })
-                      .fork();
-    auto mine = forked.addBranch();
-    auto ended = forked.addBranch();
-    m_gathering.emplace(customer, kj::mv(forked));
-    return mine.attach(ended
-                           .then(
-                               [this, customer]
-                               {
-                                   // A later event: the fork must not go away
-                                   // under its own branches.
-                                   return kj::evalLater(
-                                       [this, customer]
-                                       {
-                                           m_gathering.erase(customer);
-                                       });
-                               })
-                           .eagerlyEvaluate(nullptr));
+    return next_round()
+        .then(
+            [this, customer, short_of]() -> kj::Promise<void>
+            {
+                return short_of() ? ask_zone(customer) : kj::READY_NOW;
+            })
+        .then(
+            [this, customer, short_of]() -> kj::Promise<void>
+            {
+                return short_of() && m_reachable ? ask_remote(customer)
+                                                 : kj::READY_NOW;
+            });
+}
+
+void grant_manager::taskFailed(kj::Exception&& reason)
+{
+    static_cast<void>(reason);
 }
 
 kj::Promise<void> grant_manager::next_round()
@@ -170,9 +175,9 @@
         waiter->fulfill();
 }
 
-kj::Promise<void> grant_manager::ask_zone(const std::string& customer,
-                                          token_count_t tokens)
+kj::Promise<void> grant_manager::ask_zone(const std::string& customer)
 {
+    const auto tokens = m_lines[customer].needed;
     std::vector<kj::Promise<void>> asked;
     for (const auto& host : m_hooks.peers().zone)
         asked.push_back(
@@ -188,9 +193,9 @@
     return all(asked);
 }
 
-kj::Promise<void> grant_manager::ask_remote(const std::string& customer,
-                                            token_count_t tokens)
+kj::Promise<void> grant_manager::ask_remote(const std::string& customer)
 {
+    const auto tokens = m_lines[customer].needed;
     std::vector<kj::Promise<void>> asked;
     for (const auto& host : m_hooks.peers().remote)
         asked.push_back(m_peers.hand_back(host, customer, tokens)
--- a/src/control/grant_manager.hpp
+++ b/src/control/grant_manager.hpp
@@ -6,7 +6,7 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include <kj/async.h> // ForkedPromise, Promise
+#include <kj/async.h> // Promise, TaskSet
 
 #include <rhubarbgrade/detail/base/error.hpp>  // result
 #include <rhubarbgrade/detail/base/types.hpp>  // token_count_t
@@ -38,7 +38,7 @@
 ///
 /// Runs on the control thread only. Draws and returns are decided here and
 /// written by the platform worker.
-class grant_manager
+class grant_manager : private kj::TaskSet::ErrorHandler
 {
 public:
     grant_manager(const draw_policy& policy, ledger_owner& owner,
@@ -88,10 +88,12 @@
     void finish_round(bool reachable);
 
 private:
+    using waiters_t = std::vector<kj::Own<kj::PromiseFulfiller<void>>>;
+
     struct line
     {
         demand_rate demand;
-        token_count_t needed = 0;
+        token_count_t needed = 0; ///< by all requests that wait
         token_count_t free = 0;
         bool free_known = false;
         time_point_t exhausted_until{};
@@ -103,15 +105,16 @@
         token_count_t tokens = 0;
     };
 
+    void taskFailed(kj::Exception&& reason) override;
     bool try_reserve(const std::string& request, const std::string& customer,
                      token_count_t tokens);
     bool covered(const std::string& customer, token_count_t tokens) const;
-    kj::Promise<void> gather(const std::string& customer, token_count_t tokens);
+    kj::Promise<void> gather(const std::string& customer);
+    kj::Promise<void> search(const std::string& customer);
+    void finish_search(const std::string& customer);
     kj::Promise<void> next_round();
-    kj::Promise<void> ask_zone(const std::string& customer,
-                               token_count_t tokens);
-    kj::Promise<void> ask_remote(const std::string& customer,
-                                 token_count_t tokens);
+    kj::Promise<void> ask_zone(const std::string& customer);
+    kj::Promise<void> ask_remote(const std::string& customer);
     draw_state state_of(const std::string& customer) const;
     error shortage(const std::string& customer) const;
     void set_solo_aside(const std::string& customer);
@@ -122,12 +125,15 @@
     grant_hooks m_hooks;
     std::map<std::string, line> m_lines;
     std::map<std::string, token_count_t> m_returns;
-    std::map<std::string, kj::ForkedPromise<void>> m_gathering;
+    /// Requests that wait for a search, by customer; a search is under way for
+    /// each customer in the map.
+    std::map<std::string, waiters_t> m_searches;
     std::map<std::string, given> m_given; ///< by customer and asker
-    std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_round_waiters;
-    std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_next_waiters;
+    waiters_t m_round_waiters;
+    waiters_t m_next_waiters;
     std::uint64_t m_asked = 0;
     bool m_reachable = false;
+    kj::TaskSet m_tasks;
 };
 
 } // namespace rhubarbgrade
--- a/src/control/router.cpp
+++ b/src/control/router.cpp
@@ -71,6 +71,11 @@
         return m_callers.port();
     }
 
+    int rpc_port() const
+    {
+        return m_control.rpc_port();
+    }
+
     int admin_port() const
     {
         return m_admin.port();
@@ -132,6 +137,11 @@
     return m_implementation->port();
 }
 
+int router::rpc_port() const
+{
+    return m_implementation->rpc_port();
+}
+
 int router::admin_port() const
 {
     return m_implementation->admin_port();
--- a/src/daemon/rhubarbgraded.cpp
+++ b/src/daemon/rhubarbgraded.cpp
@@ -84,8 +84,9 @@
     try
     {
         rhubarbgrade::router daemon(read, log);
-        std::cout << "listening " << daemon.port() << "\nadmin "
-                  << daemon.admin_port() << std::endl;
+        std::cout << "rpc " << daemon.rpc_port() << "\nadmin "
+                  << daemon.admin_port() << "\nlistening " << daemon.port()
+                  << std::endl;
         wait_for_end(signals);
         daemon.leave(rhubarbgrade::milliseconds(FLAGS_notice_ms));
     }
--- /dev/null
+++ b/tests/integration/process.cpp
@@ -0,0 +1,114 @@
+#include "process.hpp"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <sstream>
+#include <stdexcept>
+
+#include "until.hpp"
+
+extern char** environ;
+
+namespace harness
+{
+
+process::process(const std::vector<std::string>& command,
+                 const std::string& log)
+{
+    std::array<int, 2> pipe{};
+    if (::pipe2(pipe.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("pipe");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    std::vector<char*> words;
+    for (const auto& word : command)
+        words.push_back(const_cast<char*>(word.c_str()));
+    words.push_back(nullptr);
+    const int failed = ::posix_spawn(&m_pid, words[0], &actions, nullptr,
+                                     words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(pipe[1]);
+    if (failed == 0)
+        read_ports(pipe[0]);
+    ::close(pipe[0]);
+    if (failed != 0 || m_ports.count("listening") == 0)
+        throw std::runtime_error("did not start: " + command[0]);
+}
+
+void process::read_ports(int from)
+{
+    constexpr int deadline_ms = 20000;
+    std::string text;
+    std::array<char, 512> buffer{};
+    while (m_ports.count("listening") == 0)
+    {
+        pollfd entry{from, POLLIN, 0};
+        if (::poll(&entry, 1, deadline_ms) <= 0)
+            return;
+        const auto count = ::read(from, buffer.data(), buffer.size());
+        if (count <= 0)
+            return;
+        text.append(buffer.data(), static_cast<std::size_t>(count));
+        if (text.back() != '\n')
+            continue;
+        std::istringstream in(text);
+        std::string name;
+        for (int number = 0; in >> name >> number;)
+            m_ports[name] = number;
+    }
+}
+
+process::~process()
+{
+    if (m_pid <= 0 || m_exit >= 0)
+        return;
+    signal(SIGCONT);
+    kill();
+}
+
+int process::port(const std::string& name) const
+{
+    return m_ports.at(name);
+}
+
+void process::signal(int number) const
+{
+    if (m_exit < 0)
+        ::kill(m_pid, number);
+}
+
+void process::kill()
+{
+    signal(SIGKILL);
+    wait_exit();
+}
+
+bool process::running()
+{
+    int status = 0;
+    if (m_exit < 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid)
+        m_exit = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+    return m_exit < 0;
+}
+
+int process::wait_exit(int deadline_ms)
+{
+    until(
+        [this]
+        {
+            return !running();
+        },
+        deadline_ms);
+    return m_exit;
+}
+
+} // namespace harness
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -1,5 +1,6 @@
 // TCP fault proxy: carries connections to one address and can be told to fail.
 //
+//   PUT /target on the control port: the port on loopback to carry to
 //   PUT /fault on the control port: {mode, delay_ms}
 //     pass      carry bytes both ways
 //     cut       close every connection and refuse new ones
@@ -25,10 +26,6 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-DEFINE_int32(port, 0, "port to listen on, 0 for one from the kernel");
-DEFINE_int32(control_port, 0, "port of the control side");
-DEFINE_int32(target, 0, "port on loopback to carry connections to");
-
 namespace
 {
 
@@ -40,6 +37,7 @@
     std::chrono::milliseconds delay{0};
     std::uint64_t stale_below = 0;
     std::uint64_t next_connection = 0;
+    int target = 0; ///< port on loopback
 };
 
 // Returns whether bytes may pass now; waits while the connection is silent.
@@ -91,7 +89,9 @@
 void carry(fault_state& state, int caller, std::uint64_t connection)
 {
     const int target = ::socket(AF_INET, SOCK_STREAM, 0);
-    const auto address = loopback(FLAGS_target);
+    state.mutex.lock();
+    const auto address = loopback(state.target);
+    state.mutex.unlock();
     const int on = 1;
     ::setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     ::setsockopt(target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -131,7 +131,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     fault_state state;
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = loopback(FLAGS_port);
+    auto address = loopback(0);
     const int on = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     if (::bind(listener, reinterpret_cast<sockaddr*>(&address),
@@ -153,11 +153,13 @@
                         state.stale_below = state.next_connection;
                     state.changed.notify_all();
                 });
-    int control_port = FLAGS_control_port;
-    if (control_port == 0)
-        control_port = control.bind_to_any_port("127.0.0.1");
-    else
-        control.bind_to_port("127.0.0.1", control_port);
+    control.Put("/target",
+                [&](const httplib::Request& request, httplib::Response&)
+                {
+                    const std::lock_guard lock(state.mutex);
+                    state.target = std::stoi(request.body);
+                });
+    const int control_port = control.bind_to_any_port("127.0.0.1");
     std::thread(
         [&]
         {
