Budgets: searches for tokens that end soon and leave nothing stranded

Found: hosts kept back 30 s of their own demand from a waiting request, and the tokens set aside for a silent second host counted for nobody else. Ruled out lost draws: granted and held agreed. Change: what a waiting request needs goes before what a host may need later; tokens set aside move back while the second host agrees (operation put_back). Cause 2: in a silent cut each refusal waited for a whole round of platform calls (1 s each). Change: without the platform only the zone is asked; a round is waited for 600 ms at most. Conclusion: refusals in a cut are bounded; the first one after the cut still waits up to 600 ms.

--- a/include/rhubarbgrade/detail/budget/draw.hpp
+++ b/include/rhubarbgrade/detail/budget/draw.hpp
@@ -37,8 +37,8 @@
 /// @brief Decides how much of a holding may go to a host that asks.
 /// @param[in] policy  bounds
 /// @param[in] state   this host's view of the account; `needed` is the asker's
-/// @return tokens to give up, at most what the asker needs and at most the
-///         holding less this host's own demand of the next seconds
+/// @return tokens to give up: what the asker needs as far as it is held, and a
+///         part of what this host will not need itself in the next seconds
 token_count_t spare_amount(const draw_policy& policy, const draw_state& state);
 
 /// @brief Decides how many tokens to give back because nobody here uses them.
--- a/include/rhubarbgrade/detail/budget/operation.hpp
+++ b/include/rhubarbgrade/detail/budget/operation.hpp
@@ -38,6 +38,13 @@
     token_count_t tokens = 0;
 };
 
+/// @brief Moves solo tokens to the shared ones.
+struct put_back
+{
+    std::string customer;
+    token_count_t tokens = 0;
+};
+
 /// @brief Reserves the upper bound of a request's cost before its dispatch.
 struct reserve
 {
@@ -140,8 +147,9 @@
 
 /// @brief One step of a ledger, applied alike by its owner and second host.
 using operation =
-    std::variant<credit, debit, set_aside, reserve, assign, settle, release,
-                 store_bills, mark_settled, adopt_reservation, adopt_bill,
-                 recall_request, adopt_keys, claim_key, drop_claim, answer_key>;
+    std::variant<credit, debit, set_aside, put_back, reserve, assign, settle,
+                 release, store_bills, mark_settled, adopt_reservation,
+                 adopt_bill, recall_request, adopt_keys, claim_key, drop_claim,
+                 answer_key>;
 
 } // namespace rhubarbgrade
--- a/src/budget/draw.cpp
+++ b/src/budget/draw.cpp
@@ -50,11 +50,11 @@
 
 token_count_t spare_amount(const draw_policy& policy, const draw_state& state)
 {
+    // A request that waits now goes before those that may come here.
+    const auto now = std::min(state.needed, state.held);
     const auto kept = static_cast<token_count_t>(state.demand * kept_back_s);
     const auto spare = state.held > kept ? state.held - kept : 0;
-    const auto wanted = std::max(state.needed, policy.smallest);
-    const auto half = std::max(state.needed, spare / 2);
-    return std::min({spare, wanted, half});
+    return std::max(now, std::min(spare / 2, policy.smallest));
 }
 
 token_count_t surplus_amount(const draw_policy& policy, const draw_state& state)
--- a/src/budget/ledger.cpp
+++ b/src/budget/ledger.cpp
@@ -81,6 +81,16 @@
         return {};
     }
 
+    result<void> operator()(const put_back& step) const
+    {
+        auto& line = book.accounts[step.customer];
+        if (line.solo < step.tokens)
+            return misfit("put_back", step.customer);
+        line.solo -= step.tokens;
+        line.shared += step.tokens;
+        return {};
+    }
+
     result<void> operator()(const reserve& step) const
     {
         if (book.reservations.contains(step.request) || step.request.empty())
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -69,7 +69,7 @@
               m_hooks.wake_worker();
           }),
       m_replicas(m_boot),
-      m_grants(read.draw, m_owner, m_peers,
+      m_grants(read.draw, m_owner, m_peers, timer,
                {[this]
                 {
                     return token_peer_hosts();
--- a/src/control/grant_manager.cpp
+++ b/src/control/grant_manager.cpp
@@ -20,6 +20,9 @@
 /// long.
 constexpr milliseconds exhausted_time{300};
 
+/// A round of the platform worker is waited for no longer than this.
+constexpr milliseconds round_limit{600};
+
 /// With more customers than this, nothing is drawn before a first request.
 constexpr std::size_t drawn_ahead_limit = 500;
 
@@ -34,10 +37,12 @@
 } // namespace
 
 grant_manager::grant_manager(const draw_policy& policy, ledger_owner& owner,
-                             peer_calls& peers, grant_hooks hooks)
+                             peer_calls& peers, kj::Timer& timer,
+                             grant_hooks hooks)
     : m_policy(policy),
       m_owner(owner),
       m_peers(peers),
+      m_timer(timer),
       m_hooks(std::move(hooks)),
       m_tasks(*this)
 {
@@ -88,14 +93,25 @@
                                 const std::string& customer,
                                 token_count_t tokens)
 {
-    for (const auto pool : {token_pool::shared, token_pool::solo})
-    {
-        if (pool == token_pool::shared && m_owner.state() == pairing::cut)
-            continue;
-        if (m_owner.apply_now(reserve{request, customer, tokens, {}, pool}))
-            return true;
-    }
-    return false;
+    const bool cut = m_owner.state() == pairing::cut;
+    if (!cut)
+        fill_up_shared(customer, tokens);
+    const auto pool = cut ? token_pool::solo : token_pool::shared;
+    return m_owner.apply_now(reserve{request, customer, tokens, {}, pool})
+        .has_value();
+}
+
+/// Moves solo tokens to the shared ones if these alone fall short.
+void grant_manager::fill_up_shared(const std::string& customer,
+                                   token_count_t tokens)
+{
+    const auto found = m_owner.book().accounts.find(customer);
+    if (found == m_owner.book().accounts.end())
+        return;
+    const auto [shared, solo] = found->second;
+    if (shared < tokens && shared + solo >= tokens)
+        static_cast<void>(
+            m_owner.apply_now(put_back{customer, tokens - shared}));
 }
 
 bool grant_manager::covered(const std::string& customer,
@@ -105,9 +121,9 @@
     const auto found = accounts.find(customer);
     if (found == accounts.end())
         return tokens == 0;
+    const auto [shared, solo] = found->second;
     const bool cut = m_owner.state() == pairing::cut;
-    return found->second.solo >= tokens ||
-           (!cut && found->second.shared >= tokens);
+    return solo >= tokens || (!cut && shared + solo >= tokens);
 }
 
 kj::Promise<void> grant_manager::gather(const std::string& customer)
@@ -140,7 +156,9 @@
     {
         return !covered(customer, m_lines[customer].needed);
     };
-    return next_round()
+    // Without the platform there is nothing to wait for but the zone.
+    auto drawn = m_reachable ? next_round() : kj::Promise<void>(kj::READY_NOW);
+    return drawn
         .then(
             [this, customer, short_of]() -> kj::Promise<void>
             {
@@ -165,7 +183,14 @@
     auto promise = kj::newPromiseAndFulfiller<void>();
     m_next_waiters.push_back(kj::mv(promise.fulfiller));
     m_hooks.wake_worker();
-    return kj::mv(promise.promise);
+    return m_timer
+        .timeoutAfter(round_limit.count() * kj::MILLISECONDS,
+                      kj::mv(promise.promise))
+        .catch_(
+            [this](kj::Exception&&)
+            {
+                m_reachable = false;
+            });
 }
 
 void grant_manager::finish_round(bool reachable)
@@ -226,7 +251,7 @@
     }
     const auto held = m_owner.book().accounts.find(customer);
     if (held != m_owner.book().accounts.end())
-        state.held = held->second.shared;
+        state.held = held->second.shared + held->second.solo;
     return state;
 }
 
@@ -238,13 +263,34 @@
     auto& last = m_given[customer + "\n" + to_string(asker)];
     if (number <= last.number)
         return number == last.number ? last.tokens : token_count_t{0};
+    last = {number, 0};
+    return take_out(customer, tokens)
+        .then(
+            [this, customer, asker, number](token_count_t amount)
+            {
+                auto& now = m_given[customer + "\n" + to_string(asker)];
+                if (now.number == number)
+                    now.tokens = amount;
+                return amount;
+            });
+}
+
+/// Takes tokens out that this host can spare; the solo ones only while the
+/// second host agrees.
+kj::Promise<token_count_t> grant_manager::take_out(const std::string& customer,
+                                                   token_count_t wanted)
+{
     auto state = state_of(customer);
-    state.needed = tokens;
+    state.needed = wanted;
     const auto amount = spare_amount(m_policy, state);
-    last = {number, 0};
-    if (amount == 0)
+    const bool able =
+        m_owner.state() == pairing::paired || m_owner.state() == pairing::alone;
+    if (amount == 0 || !able)
         return token_count_t{0};
-    last.tokens = amount;
+    const auto& held = m_owner.book().accounts.find(customer)->second;
+    if (held.shared < amount)
+        static_cast<void>(
+            m_owner.apply_now(put_back{customer, amount - held.shared}));
     return m_owner.propose(debit{customer, amount})
         .then(
             [amount](result<void> done)
@@ -256,18 +302,12 @@
 kj::Promise<token_count_t> grant_manager::hand_back(const std::string& customer,
                                                     token_count_t tokens)
 {
-    auto state = state_of(customer);
-    state.needed = tokens;
-    const auto amount = spare_amount(m_policy, state);
-    if (amount == 0)
-        return token_count_t{0};
-    return m_owner.propose(debit{customer, amount})
+    return take_out(customer, tokens)
         .then(
-            [this, customer,
-             amount](result<void> done) -> kj::Promise<token_count_t>
+            [this, customer](token_count_t amount) -> kj::Promise<token_count_t>
             {
-                if (!done)
-                    return token_count_t{0};
+                if (amount == 0)
+                    return amount;
                 m_returns[customer] += amount;
                 return next_round().then(
                     [amount]
--- a/src/control/grant_manager.hpp
+++ b/src/control/grant_manager.hpp
@@ -6,7 +6,8 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include <kj/async.h> // Promise, TaskSet
+#include <kj/async-io.h> // Timer
+#include <kj/async.h>    // Promise, TaskSet
 
 #include <rhubarbgrade/detail/base/error.hpp>  // result
 #include <rhubarbgrade/detail/base/types.hpp>  // token_count_t
@@ -42,7 +43,7 @@
 {
 public:
     grant_manager(const draw_policy& policy, ledger_owner& owner,
-                  peer_calls& peers, grant_hooks hooks);
+                  peer_calls& peers, kj::Timer& timer, grant_hooks hooks);
 
     /// @brief Reserves tokens for a request, gathering them if need be.
     kj::Promise<result<void>> reserve_tokens(const std::string& request,
@@ -108,6 +109,7 @@
     void taskFailed(kj::Exception&& reason) override;
     bool try_reserve(const std::string& request, const std::string& customer,
                      token_count_t tokens);
+    void fill_up_shared(const std::string& customer, token_count_t tokens);
     bool covered(const std::string& customer, token_count_t tokens) const;
     kj::Promise<void> gather(const std::string& customer);
     kj::Promise<void> search(const std::string& customer);
@@ -115,6 +117,8 @@
     kj::Promise<void> next_round();
     kj::Promise<void> ask_zone(const std::string& customer);
     kj::Promise<void> ask_remote(const std::string& customer);
+    kj::Promise<token_count_t> take_out(const std::string& customer,
+                                        token_count_t wanted);
     draw_state state_of(const std::string& customer) const;
     error shortage(const std::string& customer) const;
     void set_solo_aside(const std::string& customer);
@@ -122,6 +126,7 @@
     draw_policy m_policy;
     ledger_owner& m_owner;
     peer_calls& m_peers;
+    kj::Timer& m_timer;
     grant_hooks m_hooks;
     std::map<std::string, line> m_lines;
     std::map<std::string, token_count_t> m_returns;
--- a/src/router/codec.cpp
+++ b/src/router/codec.cpp
@@ -64,6 +64,11 @@
         write_amount(to.initSetAside(), step);
     }
 
+    void operator()(const put_back& step)
+    {
+        write_amount(to.initPutBack(), step);
+    }
+
     void operator()(const reserve& step)
     {
         auto group = to.initReserve();
@@ -220,6 +225,8 @@
         return read_amount<debit>(from.getDebit());
     case Operation::SET_ASIDE:
         return read_amount<set_aside>(from.getSetAside());
+    case Operation::PUT_BACK:
+        return read_amount<put_back>(from.getPutBack());
     case Operation::RESERVE:
         return read_reserve(from.getReserve());
     case Operation::ASSIGN:
--- a/src/router/protocol.capnp
+++ b/src/router/protocol.capnp
@@ -57,6 +57,7 @@
       contentType @39 :Text;
       body @40 :Data;
     }
+    putBack :group { customer @41 :Text; tokens @42 :UInt64; }
   }
 }
 
--- a/src/router/protocol.capnp.h
+++ b/src/router/protocol.capnp.h
@@ -43,6 +43,7 @@
 CAPNP_DECLARE_SCHEMA(b7a6ca9905f13810);
 CAPNP_DECLARE_SCHEMA(9ad576aa3023cf91);
 CAPNP_DECLARE_SCHEMA(e981696d8d46144e);
+CAPNP_DECLARE_SCHEMA(9aed65d897940200);
 CAPNP_DECLARE_SCHEMA(9c8fcd770fa81bea);
 CAPNP_DECLARE_SCHEMA(c6d5f266c43d977e);
 CAPNP_DECLARE_SCHEMA(87335fff948971ee);
@@ -133,6 +134,7 @@
     CLAIM_KEY,
     DROP_CLAIM,
     ANSWER_KEY,
+    PUT_BACK,
   };
   struct Credit;
   struct Debit;
@@ -150,6 +152,7 @@
   struct ClaimKey;
   struct DropClaim;
   struct AnswerKey;
+  struct PutBack;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e14f844d4d4032e6, 3, 4)
@@ -399,6 +402,21 @@
   };
 };
 
+struct Operation::PutBack {
+  PutBack() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9aed65d897940200, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HostBeat {
   HostBeat() = delete;
 
@@ -969,6 +987,9 @@
   inline bool isAnswerKey() const;
   inline typename AnswerKey::Reader getAnswerKey() const;
 
+  inline bool isPutBack() const;
+  inline typename PutBack::Reader getPutBack() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1062,6 +1083,10 @@
   inline typename AnswerKey::Builder getAnswerKey();
   inline typename AnswerKey::Builder initAnswerKey();
 
+  inline bool isPutBack();
+  inline typename PutBack::Builder getPutBack();
+  inline typename PutBack::Builder initPutBack();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2561,6 +2586,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Operation::PutBack::Reader {
+public:
+  typedef PutBack Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline  ::uint64_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operation::PutBack::Builder {
+public:
+  typedef PutBack Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operation::PutBack::Pipeline {
+public:
+  typedef PutBack Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HostBeat::Reader {
 public:
   typedef HostBeat Reads;
@@ -5381,6 +5492,29 @@
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename Operation::AnswerKey::Builder(_builder);
 }
+inline bool Operation::Reader::isPutBack() const {
+  return which() == Operation::PUT_BACK;
+}
+inline bool Operation::Builder::isPutBack() {
+  return which() == Operation::PUT_BACK;
+}
+inline typename Operation::PutBack::Reader Operation::Reader::getPutBack() const {
+  KJ_IREQUIRE((which() == Operation::PUT_BACK),
+              "Must check which() before get()ing a union member.");
+  return typename Operation::PutBack::Reader(_reader);
+}
+inline typename Operation::PutBack::Builder Operation::Builder::getPutBack() {
+  KJ_IREQUIRE((which() == Operation::PUT_BACK),
+              "Must check which() before get()ing a union member.");
+  return typename Operation::PutBack::Builder(_builder);
+}
+inline typename Operation::PutBack::Builder Operation::Builder::initPutBack() {
+  _builder.setDataField<Operation::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Operation::PUT_BACK);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename Operation::PutBack::Builder(_builder);
+}
 inline bool Operation::Credit::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6485,6 +6619,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Operation::PutBack::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Operation::PutBack::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Operation::PutBack::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Operation::PutBack::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Operation::PutBack::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Operation::PutBack::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Operation::PutBack::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Operation::PutBack::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Operation::PutBack::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Operation::PutBack::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Operation::PutBack::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostBeat::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/integration/integration-cuts.cpp
+++ b/tests/integration/integration-cuts.cpp
@@ -19,6 +19,8 @@
     wanted.zones = {{"a", 2}, {"b", 2}};
     wanted.engines = {{"e1", "a"}, {"e2", "b"}};
     wanted.prepaid = prepaid;
+    wanted.engine_flags = {{"e1", {"--step_us=100"}},
+                           {"e2", {"--step_us=100"}}};
     wanted.settings = "suspect_after_ms = 800\nclose_after_ms = 1500\n";
     return wanted;
 }
