--- a/include/rhubarbgrade/detail/endpoint/endpoint_table.hpp
+++ b/include/rhubarbgrade/detail/endpoint/endpoint_table.hpp
@@ -56,9 +56,10 @@
 
     /// @brief Picks the version for a new request by the service's split.
     ///
-    /// Counted exactly: among the first n requests the new version never gets
-    /// more than its share of n.
-    std::string pick_version(const std::string& service);
+    /// Counted exactly on each route: among its first n requests the new
+    /// version never gets more than its share of n.
+    std::string pick_version(const std::string& service,
+                             const std::string& route);
 
     /// @brief Waits for a slot.
     /// @return a lease, or @ref errc::overloaded, refused at once if the wait
@@ -103,7 +104,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, state> m_states;
     std::map<std::string, queue_t> m_queues;
-    std::map<std::string, double> m_split_credit; ///< by service
+    std::map<std::string, double> m_split_credit; ///< by move and route
     std::map<std::string, double> m_service_ms;   ///< by service
     std::uint64_t m_arrivals = 0;
 };
--- a/include/rhubarbgrade/detail/moves/evidence.hpp
+++ b/include/rhubarbgrade/detail/moves/evidence.hpp
@@ -26,7 +26,8 @@
 {
     sample_sums from;
     sample_sums to;
-    sample_sums to_all; ///< of the new version, without decay
+    sample_sums to_all;    ///< of the new version, without decay
+    sample_sums to_recent; ///< of the new version, over a few seconds
 };
 
 /// @brief Evidence of one router on one move, by route.
@@ -38,7 +39,13 @@
 /// @param[in] latency_s  seconds to the first byte, below 0 if there was none
 void add_sample(sample_sums& sums, bool good, double latency_s);
 
-/// @brief Lets time pass: old samples lose weight by a half-life of 30 s.
+/// @brief Adds one answered request to a side.
+/// @param[in,out] sides  both sides of the route
+/// @param[in] to         whether the new version answered
+void add_sample(route_evidence& sides, bool to, bool good, double latency_s);
+
+/// @brief Lets time pass: old samples lose weight by a half-life of 30 s, the
+///        recent ones by one of 3 s.
 void decay(move_evidence_t& evidence, double seconds);
 
 /// @brief Adds another router's evidence.
--- a/include/rhubarbgrade/detail/moves/judge.hpp
+++ b/include/rhubarbgrade/detail/moves/judge.hpp
@@ -27,7 +27,7 @@
 ///
 /// Errors are judged by a sequential probability ratio test against the old
 /// version's error rate, latencies by Welch's test on their logarithms. Bad on
-/// one route is bad; good is good on every route that has samples.
+/// one route is bad; good is good over all routes together.
 /// @param[in] plan      the move, for its tolerances
 /// @param[in] evidence  pooled evidence
 judgement judge(const move& plan, const move_evidence_t& evidence);
--- a/src/caller/model_call.cpp
+++ b/src/caller/model_call.cpp
@@ -102,7 +102,7 @@
     const auto held = reserve();
     if (!held)
         return refusal{held.error(), run_state::no};
-    m_version = m_shared.endpoints.pick_version(m_job.service);
+    m_version = m_shared.endpoints.pick_version(m_job.service, m_job.path);
     for (;;)
     {
         const auto refused = attempt();
--- a/src/caller/plain_call.cpp
+++ b/src/caller/plain_call.cpp
@@ -214,7 +214,8 @@
     void run()
     {
         const auto deadline = m_begin + m_service.timeout;
-        m_version = m_shared.endpoints.pick_version(m_service.name);
+        m_version =
+            m_shared.endpoints.pick_version(m_service.name, m_service.path);
         {
             const std::lock_guard lock(m_shared.mutex);
             note_request(m_shared.retries);
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -104,11 +104,8 @@
     void note(const move_sample& sample)
     {
         const std::lock_guard lock(m_samples_mutex);
-        auto& sides = m_samples[sample.move][sample.route];
-        add_sample(sample.to ? sides.to : sides.from, sample.good,
+        add_sample(m_samples[sample.move][sample.route], sample.to, sample.good,
                    sample.latency_s);
-        if (sample.to)
-            add_sample(sides.to_all, sample.good, sample.latency_s);
     }
 
 private:
--- a/src/endpoint/endpoint_table.cpp
+++ b/src/endpoint/endpoint_table.cpp
@@ -54,7 +54,8 @@
 
 endpoint_table::~endpoint_table() = default;
 
-std::string endpoint_table::pick_version(const std::string& service)
+std::string endpoint_table::pick_version(const std::string& service,
+                                         const std::string& route)
 {
     const auto shot = m_snapshot();
     const auto split = shot->splits.find(service);
@@ -64,7 +65,7 @@
     if (way.to.empty() || way.share <= 0)
         return way.from;
     const std::lock_guard lock(m_mutex);
-    auto& credit = m_split_credit[way.move];
+    auto& credit = m_split_credit[way.move + "\n" + route];
     credit += way.share;
     if (credit < 1)
         return way.from;
--- a/src/moves/evidence.cpp
+++ b/src/moves/evidence.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr double half_life_s = 30;
+constexpr double recent_half_life_s = 3;
 constexpr double least_latency_s = 1e-4;
 
 void scale(sample_sums& sums, double factor)
@@ -44,13 +45,24 @@
     sums.timed += 1;
 }
 
+void add_sample(route_evidence& sides, bool to, bool good, double latency_s)
+{
+    if (!to)
+        return add_sample(sides.from, good, latency_s);
+    add_sample(sides.to, good, latency_s);
+    add_sample(sides.to_all, good, latency_s);
+    add_sample(sides.to_recent, good, latency_s);
+}
+
 void decay(move_evidence_t& evidence, double seconds)
 {
     const double factor = std::exp2(-seconds / half_life_s);
+    const double recent_factor = std::exp2(-seconds / recent_half_life_s);
     for (auto& [route, sides] : evidence)
     {
         scale(sides.from, factor);
         scale(sides.to, factor);
+        scale(sides.to_recent, recent_factor);
     }
 }
 
@@ -62,6 +74,7 @@
         mine.from += sides.from;
         mine.to += sides.to;
         mine.to_all += sides.to_all;
+        mine.to_recent += sides.to_recent;
     }
 }
 
--- a/src/moves/judge.cpp
+++ b/src/moves/judge.cpp
@@ -67,49 +67,85 @@
     return (rise - std::log1p(tolerance)) / sigma;
 }
 
-verdict judge_errors(const move& plan, const route_evidence& sides)
+/// Error rates between which the test decides.
+struct error_rates
 {
-    const double usual = std::min(error_rate(sides.from), 0.5);
+    double usual = 0;
+    double high = 0;
+};
+
+error_rates rates_of(const move& plan, const sample_sums& from)
+{
+    const double usual = std::min(error_rate(from), 0.5);
     const double rise = std::max(2 * plan.error_tolerance, least_error_rise);
-    const double high = std::min(usual + rise, 0.99);
-    const double recent = log_likelihood_ratio(sides.to, usual, high);
-    if (recent > std::log(1 / false_alarm))
-        return verdict::bad;
-    const double all = log_likelihood_ratio(sides.to_all, usual, high);
-    return all < std::log(missed_fault) ? verdict::good : verdict::unproved;
+    return {usual, std::min(usual + rise, 0.99)};
+}
+
+bool bad_errors(const move& plan, const route_evidence& sides)
+{
+    const auto [usual, high] = rates_of(plan, sides.from);
+    const double limit = std::log(1 / false_alarm);
+    return log_likelihood_ratio(sides.to, usual, high) > limit ||
+           log_likelihood_ratio(sides.to_recent, usual, high) > limit;
+}
+
+bool bad_latency(const move& plan, const route_evidence& sides)
+{
+    for (const auto* const to : {&sides.to, &sides.to_recent})
+    {
+        const bool enough =
+            sides.from.timed >= timed_to_be_bad && to->timed >= timed_to_be_bad;
+        if (enough &&
+            slowness(sides.from, *to, plan.slow_tolerance) > bad_sigmas)
+            return true;
+    }
+    return false;
+}
+
+/// Over all routes, so that a route with few requests holds nothing up.
+bool good_errors(const move& plan, const move_evidence_t& evidence)
+{
+    route_evidence sum;
+    for (const auto& [route, sides] : evidence)
+    {
+        sum.from += sides.from;
+        sum.to_all += sides.to_all;
+    }
+    const auto [usual, high] = rates_of(plan, sum.from);
+    return log_likelihood_ratio(sum.to_all, usual, high) <
+           std::log(missed_fault);
 }
 
-verdict judge_latency(const move& plan, const route_evidence& sides)
+bool good_latency(const move& plan, const move_evidence_t& evidence)
 {
-    if (sides.from.timed < timed_to_be_bad || sides.to.timed < timed_to_be_bad)
-        return verdict::unproved;
-    const double distance = slowness(sides.from, sides.to, plan.slow_tolerance);
-    if (distance > bad_sigmas)
-        return verdict::bad;
-    const bool enough = sides.to.timed >= timed_to_be_good;
-    return enough && distance < -good_sigmas ? verdict::good
-                                             : verdict::unproved;
+    bool any = false;
+    for (const auto& [route, sides] : evidence)
+    {
+        if (sides.from.timed < timed_to_be_good ||
+            sides.to_all.timed < timed_to_be_good)
+            continue;
+        if (slowness(sides.from, sides.to_all, plan.slow_tolerance) >
+            -good_sigmas)
+            return false;
+        any = true;
+    }
+    return any;
 }
 
 } // namespace
 
 judgement judge(const move& plan, const move_evidence_t& evidence)
 {
-    judgement found;
-    bool all_good = !evidence.empty();
     for (const auto& [route, sides] : evidence)
     {
-        const auto errors = judge_errors(plan, sides);
-        const auto latency = judge_latency(plan, sides);
-        if (errors == verdict::bad)
+        if (bad_errors(plan, sides))
             return {verdict::bad, "errors on " + route};
-        if (latency == verdict::bad)
+        if (bad_latency(plan, sides))
             return {verdict::bad, "latency on " + route};
-        all_good &= errors == verdict::good && latency == verdict::good;
     }
-    if (all_good)
-        found.is = verdict::good;
-    return found;
+    const bool good =
+        good_errors(plan, evidence) && good_latency(plan, evidence);
+    return {good ? verdict::good : verdict::unproved, {}};
 }
 
 } // namespace rhubarbgrade
--- a/src/router/beat.cpp
+++ b/src/router/beat.cpp
@@ -51,6 +51,7 @@
             write(row.initFrom(), sides.from);
             write(row.initTo(), sides.to);
             write(row.initToAll(), sides.to_all);
+            write(row.initToRecent(), sides.to_recent);
         }
 }
 
@@ -100,7 +101,8 @@
     beat.generation = from.getGeneration();
     for (const auto row : from.getEvidence())
         beat.evidence[row.getMove().cStr()][row.getRoute().cStr()] = {
-            read(row.getFrom()), read(row.getTo()), read(row.getToAll())};
+            read(row.getFrom()), read(row.getTo()), read(row.getToAll()),
+            read(row.getToRecent())};
     for (const auto end : from.getEnds())
         beat.ends.push_back(
             {end.getMove().cStr(),
--- a/src/router/protocol.capnp
+++ b/src/router/protocol.capnp
@@ -82,6 +82,7 @@
   from @2 :Sums;
   to @3 :Sums;
   toAll @4 :Sums;
+  toRecent @5 :Sums;
 }
 
 struct MoveEnd {
--- a/src/router/protocol.capnp.h
+++ b/src/router/protocol.capnp.h
@@ -455,7 +455,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(87335fff948971ee, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(87335fff948971ee, 0, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2896,6 +2896,9 @@
   inline bool hasToAll() const;
   inline  ::rhubarbgrade::protocol::Sums::Reader getToAll() const;
 
+  inline bool hasToRecent() const;
+  inline  ::rhubarbgrade::protocol::Sums::Reader getToRecent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2959,6 +2962,13 @@
   inline void adoptToAll(::capnp::Orphan< ::rhubarbgrade::protocol::Sums>&& value);
   inline ::capnp::Orphan< ::rhubarbgrade::protocol::Sums> disownToAll();
 
+  inline bool hasToRecent();
+  inline  ::rhubarbgrade::protocol::Sums::Builder getToRecent();
+  inline void setToRecent( ::rhubarbgrade::protocol::Sums::Reader value);
+  inline  ::rhubarbgrade::protocol::Sums::Builder initToRecent();
+  inline void adoptToRecent(::capnp::Orphan< ::rhubarbgrade::protocol::Sums>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::protocol::Sums> disownToRecent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2980,6 +2990,7 @@
   inline  ::rhubarbgrade::protocol::Sums::Pipeline getFrom();
   inline  ::rhubarbgrade::protocol::Sums::Pipeline getTo();
   inline  ::rhubarbgrade::protocol::Sums::Pipeline getToAll();
+  inline  ::rhubarbgrade::protocol::Sums::Pipeline getToRecent();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6998,6 +7009,45 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool RouteEvidence::Reader::hasToRecent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasToRecent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::protocol::Sums::Reader RouteEvidence::Reader::getToRecent() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::protocol::Sums::Builder RouteEvidence::Builder::getToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::protocol::Sums::Pipeline RouteEvidence::Pipeline::getToRecent() {
+  return  ::rhubarbgrade::protocol::Sums::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setToRecent( ::rhubarbgrade::protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::protocol::Sums::Builder RouteEvidence::Builder::initToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptToRecent(
+    ::capnp::Orphan< ::rhubarbgrade::protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::protocol::Sums> RouteEvidence::Builder::disownToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool MoveEnd::Reader::hasMove() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
