--- a/include/rhubarbgrade/detail/base/types.hpp
+++ b/include/rhubarbgrade/detail/base/types.hpp
@@ -28,7 +28,7 @@
     std::string host;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const ledger_id&) const = default;
+    auto operator<=>(const ledger_id&) const = default; // NOLINT
 };
 
 /// @brief Writes @a id as "host.incarnation".
--- a/include/rhubarbgrade/detail/config/manifest.hpp
+++ b/include/rhubarbgrade/detail/config/manifest.hpp
@@ -22,6 +22,7 @@
 {
     generation_t generation = 0;
     std::string author;
+    std::string id; ///< random: tells two sets of the same files apart
     std::vector<manifest_part> parts;
 };
 
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -159,7 +159,7 @@
             });
         m_server.set_exception_handler(
             [this](const Request& request, Response& response,
-                   std::exception_ptr problem)
+                   const std::exception_ptr& problem)
             {
                 answer_exception(request, response, problem);
             });
--- a/src/caller/model_call.cpp
+++ b/src/caller/model_call.cpp
@@ -105,7 +105,7 @@
     m_version = m_shared.endpoints.pick_version(m_job.service, m_job.path);
     for (;;)
     {
-        const auto refused = attempt();
+        auto refused = attempt();
         if (!refused || refused->what.code)
             return refused;
     }
--- a/src/config/load.cpp
+++ b/src/config/load.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::int64_t tokens_most = std::int64_t{1} << 53U;
 constexpr std::int64_t max_tokens_most = 1 << 20;
-constexpr std::int64_t timeout_most_ms = 24 * 3600 * 1000;
+constexpr std::int64_t timeout_most_ms = 86400000;
 constexpr std::size_t sha256_digits = 64;
 
 template <typename T>
--- a/src/config/manifest.cpp
+++ b/src/config/manifest.cpp
@@ -25,6 +25,7 @@
     {
         read.generation = document.at("generation");
         read.author = document.at("author");
+        read.id = document.at("id");
         for (const auto& part : document.at("parts"))
             read.parts.push_back({part.at("file"), part.at("digest")});
     }
@@ -42,6 +43,7 @@
         parts.push_back({{"file", part.file}, {"digest", part.digest}});
     return json{{"generation", document.generation},
                 {"author", document.author},
+                {"id", document.id},
                 {"parts", parts}}
         .dump();
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-constexpr std::int64_t hour_ms = 3600 * 1000;
-constexpr std::int64_t horizon_most_s = 7 * 24 * 3600;
+constexpr std::int64_t hour_ms = 3600000;
+constexpr std::int64_t horizon_most_s = 604800;
 constexpr std::int64_t mebibyte = 1 << 20;
 
 milliseconds duration(toml_reader& reader, std::string_view key,
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -27,6 +27,9 @@
 /// Hosts of a zone that watch the configuration at the platform.
 constexpr std::size_t watchers_per_zone = 2;
 
+/// A quarantined request is told in heartbeats for so long.
+constexpr std::chrono::seconds news_time{10};
+
 std::uint64_t boot_now()
 {
     const auto now = system_clock::now().time_since_epoch();
@@ -196,7 +199,7 @@
         return answer_of(held->second);
     return m_owner.propose(claim_key{call.key, call.request})
         .then(
-            [this, key = call.key](result<void> done)
+            [this, key = call.key](const result<void>& done)
             {
                 if (done)
                     return claim_answer{claim_status::claimed, 0, {}, {}};
@@ -255,11 +258,18 @@
     return kj::READY_NOW;
 }
 
-void control_core::quarantine_request(const std::string& fingerprint)
+kj::Promise<void>
+control_core::quarantine_request(const std::string& fingerprint)
 {
     note_quarantined(m_quarantine, fingerprint, steady_clock::now());
     m_log->warn("event=quarantined fingerprint={}", fingerprint);
     publish_snapshot();
+    kj::Vector<kj::Promise<void>> told;
+    for (const auto& host : token_peer_hosts().zone)
+        told.add(m_peers.beat(host, make_beat())
+                     .ignoreResult()
+                     .catch_([](kj::Exception&&) {}));
+    return kj::joinPromises(told.releaseAsArray());
 }
 
 void control_core::set_leaving(bool leaving)
@@ -281,8 +291,10 @@
     beat.ends = m_moves.ends();
     beat.leaving_endpoints.assign(m_leaving_endpoints.begin(),
                                   m_leaving_endpoints.end());
+    // News only: what is told for ever would never expire.
     for (const auto& [fingerprint, entry] : m_quarantine.entries)
-        beat.quarantined.push_back(fingerprint);
+        if (steady_clock::now() - entry.last < news_time)
+            beat.quarantined.push_back(fingerprint);
     return beat;
 }
 
@@ -298,31 +310,45 @@
         m_moves.put_peer(beat.sender, beat.evidence, now);
         m_peer_leaving[beat.sender] = {beat.leaving_endpoints.begin(),
                                        beat.leaving_endpoints.end()};
-        for (const auto& fingerprint : beat.quarantined)
-            note_quarantined(m_quarantine, fingerprint, now);
+        take_quarantined(beat.quarantined, now);
     }
     m_moves.merge_ends(beat.ends);
     if (beat.generation > m_configuration.generation())
         fetch_from(beat.sender);
 }
 
+void control_core::take_quarantined(
+    const std::vector<std::string>& fingerprints, time_point_t now)
+{
+    bool news = false;
+    for (const auto& fingerprint : fingerprints)
+    {
+        if (quarantined(m_quarantine, fingerprint))
+            continue;
+        note_quarantined(m_quarantine, fingerprint, now);
+        news = true;
+    }
+    if (news)
+        publish_snapshot();
+}
+
 void control_core::fetch_from(const std::string& host)
 {
     if (!m_fetching.insert(host).second)
         return;
     m_tasks.add(m_peers.manifest(host)
                     .then(
-                        [this, host](std::string text)
+                        [this, host](const std::string& text)
                         {
                             kj::Vector<kj::Promise<void>> parts;
                             for (const auto& digest : offer_manifest(text))
-                                parts.add(
-                                    m_peers.part(host, digest)
-                                        .then(
-                                            [this, digest](std::string part)
-                                            {
-                                                offer_part(digest, part);
-                                            }));
+                                parts.add(m_peers.part(host, digest)
+                                              .then(
+                                                  [this, digest](
+                                                      const std::string& part)
+                                                  {
+                                                      offer_part(digest, part);
+                                                  }));
                             return kj::joinPromises(parts.releaseAsArray());
                         })
                     .catch_([](kj::Exception&&) {})
@@ -562,6 +588,7 @@
 void control_core::tick()
 {
     expire(m_quarantine, steady_clock::now());
+    ask_for_hosts();
     resume_if_heard();
     m_moves.tick(*m_configuration.objects(), steady_clock::now(),
                  system_clock::now());
@@ -569,6 +596,23 @@
     send_beats();
 }
 
+/// A host that starts while the platform is out of reach learns the others
+/// from those that its settings name.
+void control_core::ask_for_hosts()
+{
+    if (!m_members.empty())
+        return;
+    for (const auto& [host, address] : m_settings.peer_addresses)
+        m_tasks.add(m_peers.hosts(host)
+                        .then(
+                            [this](std::vector<listed_host> list)
+                            {
+                                if (m_members.empty())
+                                    take_hosts(std::move(list));
+                            })
+                        .catch_([](kj::Exception&&) {}));
+}
+
 void control_core::resume_if_heard()
 {
     if (m_owner.state() != pairing::cut || m_owner.doubted())
@@ -592,7 +636,7 @@
     for (const auto& host : targets)
         m_tasks.add(m_peers.beat(host, make_beat())
                         .then(
-                            [this](beat_message answer)
+                            [this](const beat_message& answer)
                             {
                                 take_beat(answer);
                             })
--- a/src/control/control_core.hpp
+++ b/src/control/control_core.hpp
@@ -122,7 +122,8 @@
     kj::Promise<void> drop_claim(const ledger_id& owner,
                                  const std::string& key);
     bool owns_keys_of(const ledger_id& owner) const;
-    void quarantine_request(const std::string& fingerprint);
+    /// @brief Quarantines a request; kept once the zone's hosts know.
+    kj::Promise<void> quarantine_request(const std::string& fingerprint);
     void set_leaving(bool leaving);
 
     /// @}
@@ -178,7 +179,10 @@
     std::string address_of(const std::string& host) const;
     token_peers token_peer_hosts() const;
     void send_beats();
+    void take_quarantined(const std::vector<std::string>& fingerprints,
+                          time_point_t now);
     void fetch_from(const std::string& host);
+    void ask_for_hosts();
     void resume_if_heard();
     void publish_snapshot();
     void add_splits(routing_snapshot& shot) const;
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -309,7 +309,7 @@
     m_implementation->control().run(
         [&](control_core& core)
         {
-            core.quarantine_request(fingerprint);
+            return core.quarantine_request(fingerprint);
         });
 }
 
--- a/src/control/grant_manager.cpp
+++ b/src/control/grant_manager.cpp
@@ -293,7 +293,7 @@
             m_owner.apply_now(put_back{customer, amount - held.shared}));
     return m_owner.propose(debit{customer, amount})
         .then(
-            [amount](result<void> done)
+            [amount](const result<void>& done)
             {
                 return done ? amount : token_count_t{0};
             });
--- a/src/endpoint/engine_request.cpp
+++ b/src/endpoint/engine_request.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr milliseconds connect_limit{1000};
+constexpr milliseconds answer_limit{500};
 constexpr int http_ok = 200;
 constexpr int http_too_many_requests = 429;
 constexpr int http_unavailable = 503;
@@ -55,11 +56,10 @@
     return refused ? attempt_end::refused : attempt_end::failed;
 }
 
-bool takes_connections(const engine_call& call)
+bool answers(const engine_call& call)
 {
-    auto client = make_client(call, call.progress);
-    const auto answer = client.Get("/load");
-    return answer || answer.error() != httplib::Error::Connection;
+    auto client = make_client(call, answer_limit);
+    return static_cast<bool>(client.Get("/load"));
 }
 
 std::optional<token_count_t> used_of(int status, const std::string& body)
--- a/src/endpoint/engine_request.hpp
+++ b/src/endpoint/engine_request.hpp
@@ -23,8 +23,8 @@
 /// @brief How far an attempt got that was answered with a failing status.
 attempt_end end_of_status(int status);
 
-/// @brief Whether a connection to the endpoint can be opened now.
-bool takes_connections(const engine_call& call);
+/// @brief Whether the endpoint answers on a new connection now.
+bool answers(const engine_call& call);
 
 /// @brief What a run used, from an engine's answer about it.
 std::optional<token_count_t> used_of(int status, const std::string& body);
--- a/src/endpoint/engine_stream.cpp
+++ b/src/endpoint/engine_stream.cpp
@@ -188,7 +188,7 @@
         cancel ? cancel_run(m_call) : std::optional<token_count_t>();
     const bool died = !m_outcome.complete && !cancel &&
                       m_outcome.end == attempt_end::may_have_run &&
-                      !takes_connections(m_call);
+                      !answers(m_call);
     lock.lock();
     m_outcome.endpoint_died = died;
     if (used)
--- a/src/operators/publish.cpp
+++ b/src/operators/publish.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp> // json
 
-#include <rhubarbgrade/detail/base/hash.hpp>    // sha256_hex
+#include <rhubarbgrade/detail/base/hash.hpp>    // random_hex, sha256_hex
 #include <rhubarbgrade/detail/config/check.hpp> // check, check_change
 
 #include "command_context.hpp" // command_context
@@ -104,8 +104,10 @@
     check_change(before->objects, set->objects, set->faults);
     if (!set->faults.empty())
         return print_faults(context, set->faults);
-    manifest document{
-        before->document.generation + 1, context.options.author, {}};
+    manifest document{before->document.generation + 1,
+                      context.options.author,
+                      random_hex(),
+                      {}};
     const auto stored = store_parts(api, *set, document);
     if (!stored)
         return fail(context, stored.error());
--- a/src/router/peer_calls.cpp
+++ b/src/router/peer_calls.cpp
@@ -306,4 +306,26 @@
         .ignoreResult();
 }
 
+kj::Promise<std::vector<listed_host>> peer_calls::hosts(const std::string& host)
+{
+    return link(host)
+        .call(fetch_timeout,
+              [](protocol::Router::Client to)
+              {
+                  return kj::Promise<
+                      capnp::Response<protocol::Router::HostsResults>>(
+                      to.hostsRequest().send());
+              })
+        .then(
+            [](capnp::Response<protocol::Router::HostsResults>&& got)
+            {
+                std::vector<listed_host> list;
+                for (const auto entry : got.getHosts())
+                    list.push_back(
+                        {entry.getName().cStr(), entry.getZone().cStr(),
+                         entry.getAddress().cStr(), entry.getLeaving()});
+                return list;
+            });
+}
+
 } // namespace rhubarbgrade
--- a/src/router/peer_calls.hpp
+++ b/src/router/peer_calls.hpp
@@ -4,6 +4,7 @@
 #include <map>        // map
 #include <memory>     // unique_ptr
 #include <string>     // string
+#include <vector>     // vector
 
 #include <kj/async-io.h> // Network, Timer
 #include <kj/async.h>    // Promise
@@ -62,6 +63,8 @@
                                  const ledger_id& owner,
                                  const std::string& key);
 
+    kj::Promise<std::vector<listed_host>> hosts(const std::string& host);
+
     /// @brief Whether calls to a host have been failing lately.
     bool failing(const std::string& host) const;
 
--- a/src/router/protocol.capnp
+++ b/src/router/protocol.capnp
@@ -68,6 +68,13 @@
   leaving @3 :Bool;
 }
 
+struct ListedHost {
+  name @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+  leaving @3 :Bool;
+}
+
 struct Sums {
   requests @0 :Float64;
   errors @1 :Float64;
@@ -145,4 +152,7 @@
   answer @8 (owner :LedgerId, key :Text, status :Int32, contentType :Text,
              body :Data);
   dropClaim @9 (owner :LedgerId, key :Text);
+
+  # The host list as this host last read it, for one that starts in a cut.
+  hosts @10 () -> (hosts :List(ListedHost));
 }
--- a/src/router/protocol.capnp.c++
+++ b/src/router/protocol.capnp.c++
@@ -1588,6 +1588,95 @@
   0, 4, i_9c8fcd770fa81bea, nullptr, nullptr, { &s_9c8fcd770fa81bea, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<78> b_c25dde8b519241ac = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    172,  65, 146,  81, 139, 222,  93, 194,
+     15,   0,   0,   0,   1,   0,   1,   0,
+     49,  72, 233, 183, 194, 240, 165, 209,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 111, 116, 111,  99, 111, 108,
+     46,  99,  97, 112, 110, 112,  58,  76,
+    105, 115, 116, 101, 100,  72, 111, 115,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+    110,  97, 109, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c25dde8b519241ac = b_c25dde8b519241ac.words;
+#if !CAPNP_LITE
+static const uint16_t m_c25dde8b519241ac[] = {2, 3, 0, 1};
+static const uint16_t i_c25dde8b519241ac[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_c25dde8b519241ac = {
+  0xc25dde8b519241ac, b_c25dde8b519241ac.words, 78, nullptr, m_c25dde8b519241ac,
+  0, 4, i_c25dde8b519241ac, nullptr, nullptr, { &s_c25dde8b519241ac, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<96> b_c6d5f266c43d977e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     126, 151,  61, 196, 102, 242, 213, 198,
@@ -2152,7 +2241,7 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(ClaimStatus_92079dd215e03699, 92079dd215e03699);
-static const ::capnp::_::AlignedData<123> b_898f6ee71bdd5f1d = {
+static const ::capnp::_::AlignedData<133> b_898f6ee71bdd5f1d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      29,  95, 221,  27, 231, 110, 143, 137,
      15,   0,   0,   0,   3,   0,   0,   0,
@@ -2162,94 +2251,102 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   2,   0,   0,
-    189,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   2,   0,   0,
+    229,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 114, 111, 116, 111,  99, 111, 108,
      46,  99,  97, 112, 110, 112,  58,  82,
     111, 117, 116, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     40,   0,   0,   0,   3,   0,   5,   0,
+     44,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     251,  69, 186, 140, 220,  54, 177, 177,
      88, 255,   1, 154, 137, 129,  79, 246,
-     49,   1,   0,   0,  42,   0,   0,   0,
+     81,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   1,   0,   0,   7,   0,   0,   0,
+     69,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     196, 153,  72, 128,  23, 245, 214, 234,
     208,  13,  51,  83, 202,  75, 220, 227,
-     25,   1,   0,   0,  82,   0,   0,   0,
+     57,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   1,   0,   0,   7,   0,   0,   0,
+     49,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      16, 129, 246, 179, 113, 148, 166, 230,
     248,  32, 173,  82,  53, 247, 182, 152,
-      5,   1,   0,   0,  42,   0,   0,   0,
+     37,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    249,   0,   0,   0,   7,   0,   0,   0,
+     25,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     220, 137, 187, 141,  99, 160, 201, 230,
     102,  67,  95, 248,  96, 184, 240, 227,
-    237,   0,   0,   0,  74,   0,   0,   0,
+     13,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0,   7,   0,   0,   0,
+      5,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     171, 188, 209,  66, 102,  79, 109, 223,
      46,  47, 125,  81,  71, 213, 191, 140,
-    217,   0,   0,   0,  74,   0,   0,   0,
+    249,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,   7,   0,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     155,  74,  20,  70, 100, 229, 250, 234,
      16,  90,  86, 188, 187, 182, 193, 182,
-    197,   0,   0,   0,  42,   0,   0,   0,
+    229,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      14, 157, 126, 146,  82, 170, 101, 223,
      66, 222, 148, 240,  18,  19,  94, 178,
-    173,   0,   0,   0,  98,   0,   0,   0,
+    205,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     215, 157, 156, 161,  77, 150, 169, 230,
      77,  46,  31, 221,  74, 240, 132, 201,
-    153,   0,   0,   0,  50,   0,   0,   0,
+    185,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      31,  59, 227,  96, 231, 157,   5, 137,
      75,  79,  80, 128,  33, 212,  97, 164,
-    129,   0,   0,   0,  58,   0,   0,   0,
+    161,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
      62,  13,  30,  46, 171, 157, 143, 190,
     158, 123, 236, 135, 115, 103, 248, 161,
-    105,   0,   0,   0,  82,   0,   0,   0,
+    137,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
+     10,   0,   0,   0,   0,   0,   0,   0,
+    226,  83, 217,   2,  32, 144,  55, 188,
+    148, 106, 108,  64, 246,  74, 213, 131,
+    117,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
      98, 101,  97, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 112, 108, 105,  99,  97, 116,
@@ -2275,11 +2372,14 @@
     100, 114, 111, 112,  67, 108,  97, 105,
     109,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    104, 111, 115, 116, 115,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_898f6ee71bdd5f1d = b_898f6ee71bdd5f1d.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_898f6ee71bdd5f1d[] = {
+  &s_83d54af6406c6a94,
   &s_89059de760e33b1f,
   &s_8cbfd547517d2f2e,
   &s_98b6f73552ad20f8,
@@ -2288,6 +2388,7 @@
   &s_b1b136dc8cba45fb,
   &s_b25e1312f094de42,
   &s_b6c1b6bbbc565a10,
+  &s_bc37902002d953e2,
   &s_be8f9dab2e1e0d3e,
   &s_c984f04add1f2e4d,
   &s_df65aa52927e9d0e,
@@ -2301,10 +2402,10 @@
   &s_eafae56446144a9b,
   &s_f64f81899a01ff58,
 };
-static const uint16_t m_898f6ee71bdd5f1d[] = {8, 0, 7, 9, 6, 2, 3, 4, 5, 1};
+static const uint16_t m_898f6ee71bdd5f1d[] = {8, 0, 7, 9, 6, 2, 3, 10, 4, 5, 1};
 const ::capnp::_::RawSchema s_898f6ee71bdd5f1d = {
-  0x898f6ee71bdd5f1d, b_898f6ee71bdd5f1d.words, 123, d_898f6ee71bdd5f1d, m_898f6ee71bdd5f1d,
-  20, 10, nullptr, nullptr, nullptr, { &s_898f6ee71bdd5f1d, nullptr, nullptr, 0, 0, nullptr }
+  0x898f6ee71bdd5f1d, b_898f6ee71bdd5f1d.words, 133, d_898f6ee71bdd5f1d, m_898f6ee71bdd5f1d,
+  22, 11, nullptr, nullptr, nullptr, { &s_898f6ee71bdd5f1d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_b1b136dc8cba45fb = {
@@ -3475,6 +3576,83 @@
   0, 0, nullptr, nullptr, nullptr, { &s_a1f8677387ec7b9e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_bc37902002d953e2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    226,  83, 217,   2,  32, 144,  55, 188,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 111, 116, 111,  99, 111, 108,
+     46,  99,  97, 112, 110, 112,  58,  82,
+    111, 117, 116, 101, 114,  46, 104, 111,
+    115, 116, 115,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bc37902002d953e2 = b_bc37902002d953e2.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_bc37902002d953e2 = {
+  0xbc37902002d953e2, b_bc37902002d953e2.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_bc37902002d953e2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_83d54af6406c6a94 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    148, 106, 108,  64, 246,  74, 213, 131,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 111, 116, 111,  99, 111, 108,
+     46,  99,  97, 112, 110, 112,  58,  82,
+    111, 117, 116, 101, 114,  46, 104, 111,
+    115, 116, 115,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    104, 111, 115, 116, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    172,  65, 146,  81, 139, 222,  93, 194,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_83d54af6406c6a94 = b_83d54af6406c6a94.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_83d54af6406c6a94[] = {
+  &s_c25dde8b519241ac,
+};
+static const uint16_t m_83d54af6406c6a94[] = {0};
+static const uint16_t i_83d54af6406c6a94[] = {0};
+const ::capnp::_::RawSchema s_83d54af6406c6a94 = {
+  0x83d54af6406c6a94, b_83d54af6406c6a94.words, 37, d_83d54af6406c6a94, m_83d54af6406c6a94,
+  1, 1, i_83d54af6406c6a94, nullptr, nullptr, { &s_83d54af6406c6a94, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3643,6 +3821,14 @@
 constexpr ::capnp::_::RawSchema const* HostBeat::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ListedHost
+constexpr uint16_t ListedHost::_capnpPrivate::dataWordSize;
+constexpr uint16_t ListedHost::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ListedHost::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ListedHost::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Sums
 constexpr uint16_t Sums::_capnpPrivate::dataWordSize;
 constexpr uint16_t Sums::_capnpPrivate::pointerCount;
@@ -3776,6 +3962,16 @@
       "protocol.capnp:Router", "dropClaim",
       0x898f6ee71bdd5f1dull, 9);
 }
+::capnp::Request< ::rhubarbgrade::protocol::Router::HostsParams,  ::rhubarbgrade::protocol::Router::HostsResults>
+Router::Client::hostsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::rhubarbgrade::protocol::Router::HostsParams,  ::rhubarbgrade::protocol::Router::HostsResults>(
+      0x898f6ee71bdd5f1dull, 10, sizeHint);
+}
+::kj::Promise<void> Router::Server::hosts(HostsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "protocol.capnp:Router", "hosts",
+      0x898f6ee71bdd5f1dull, 10);
+}
 ::capnp::Capability::Server::DispatchCallResult Router::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3850,6 +4046,12 @@
              ::rhubarbgrade::protocol::Router::DropClaimParams,  ::rhubarbgrade::protocol::Router::DropClaimResults>(context)),
         false
       };
+    case 10:
+      return {
+        hosts(::capnp::Capability::Server::internalGetTypedContext<
+             ::rhubarbgrade::protocol::Router::HostsParams,  ::rhubarbgrade::protocol::Router::HostsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4025,6 +4227,22 @@
 constexpr ::capnp::_::RawSchema const* Router::DropClaimResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Router::HostsParams
+constexpr uint16_t Router::HostsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Router::HostsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Router::HostsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Router::HostsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Router::HostsResults
+constexpr uint16_t Router::HostsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Router::HostsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Router::HostsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Router::HostsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/router/protocol.capnp.h
+++ b/src/router/protocol.capnp.h
@@ -45,6 +45,7 @@
 CAPNP_DECLARE_SCHEMA(e981696d8d46144e);
 CAPNP_DECLARE_SCHEMA(9aed65d897940200);
 CAPNP_DECLARE_SCHEMA(9c8fcd770fa81bea);
+CAPNP_DECLARE_SCHEMA(c25dde8b519241ac);
 CAPNP_DECLARE_SCHEMA(c6d5f266c43d977e);
 CAPNP_DECLARE_SCHEMA(87335fff948971ee);
 CAPNP_DECLARE_SCHEMA(beea174571f4c46a);
@@ -87,6 +88,8 @@
 CAPNP_DECLARE_SCHEMA(a461d42180504f4b);
 CAPNP_DECLARE_SCHEMA(be8f9dab2e1e0d3e);
 CAPNP_DECLARE_SCHEMA(a1f8677387ec7b9e);
+CAPNP_DECLARE_SCHEMA(bc37902002d953e2);
+CAPNP_DECLARE_SCHEMA(83d54af6406c6a94);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -432,6 +435,21 @@
   };
 };
 
+struct ListedHost {
+  ListedHost() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c25dde8b519241ac, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Sums {
   Sums() = delete;
 
@@ -524,6 +542,8 @@
   struct AnswerResults;
   struct DropClaimParams;
   struct DropClaimResults;
+  struct HostsParams;
+  struct HostsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -833,6 +853,36 @@
   };
 };
 
+struct Router::HostsParams {
+  HostsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc37902002d953e2, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Router::HostsResults {
+  HostsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83d54af6406c6a94, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LedgerId::Reader {
@@ -2768,6 +2818,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class ListedHost::Reader {
+public:
+  typedef ListedHost Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ListedHost::Builder {
+public:
+  typedef ListedHost Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListedHost::Pipeline {
+public:
+  typedef ListedHost Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Sums::Reader {
 public:
   typedef Sums Reads;
@@ -3272,6 +3428,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::rhubarbgrade::protocol::Router::DropClaimParams,  ::rhubarbgrade::protocol::Router::DropClaimResults> dropClaimRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::rhubarbgrade::protocol::Router::HostsParams,  ::rhubarbgrade::protocol::Router::HostsResults> hostsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3328,6 +3486,10 @@
   typedef  ::rhubarbgrade::protocol::Router::DropClaimResults DropClaimResults;
   typedef ::capnp::CallContext<DropClaimParams, DropClaimResults> DropClaimContext;
   virtual ::kj::Promise<void> dropClaim(DropClaimContext context);
+  typedef  ::rhubarbgrade::protocol::Router::HostsParams HostsParams;
+  typedef  ::rhubarbgrade::protocol::Router::HostsResults HostsResults;
+  typedef ::capnp::CallContext<HostsParams, HostsResults> HostsContext;
+  virtual ::kj::Promise<void> hosts(HostsContext context);
 
   inline  ::rhubarbgrade::protocol::Router::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -5067,6 +5229,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Router::HostsParams::Reader {
+public:
+  typedef HostsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Router::HostsParams::Builder {
+public:
+  typedef HostsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Router::HostsParams::Pipeline {
+public:
+  typedef HostsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Router::HostsResults::Reader {
+public:
+  typedef HostsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHosts() const;
+  inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Router::HostsResults::Builder {
+public:
+  typedef HostsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHosts();
+  inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>> disownHosts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Router::HostsResults::Pipeline {
+public:
+  typedef HostsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool LedgerId::Reader::hasHost() const {
@@ -6754,6 +7068,122 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListedHost::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListedHost::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ListedHost::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ListedHost::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ListedHost::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ListedHost::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ListedHost::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListedHost::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ListedHost::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ListedHost::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ListedHost::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ListedHost::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ListedHost::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListedHost::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ListedHost::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ListedHost::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ListedHost::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ListedHost::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ListedHost::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ListedHost::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ListedHost::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ListedHost::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline double Sums::Reader::getRequests() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8393,6 +8823,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Router::HostsResults::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Router::HostsResults::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Reader Router::HostsResults::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Builder Router::HostsResults::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Router::HostsResults::Builder::setHosts( ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>::Builder Router::HostsResults::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Router::HostsResults::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>> Router::HostsResults::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::protocol::ListedHost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/router/router_server.cpp
+++ b/src/router/router_server.cpp
@@ -136,7 +136,7 @@
     const claim_call call{read(from.getOwner()), from.getKey().cStr(),
                           from.getRequest().cStr()};
     return m_core.claim_here(call).then(
-        [context](claim_answer answer) mutable
+        [context](const claim_answer& answer) mutable
         {
             auto to = context.getResults();
             to.setStatus(to_wire(answer.status));
@@ -169,4 +169,20 @@
     return m_core.drop_claim(owner, from.getKey().cStr());
 }
 
+kj::Promise<void> router_server::hosts(HostsContext context)
+{
+    const auto& members = m_core.members();
+    auto to = context.getResults().initHosts(members.size());
+    std::size_t index = 0;
+    for (const auto& [name, who] : members)
+    {
+        auto entry = to[index++];
+        entry.setName(name.c_str());
+        entry.setZone(who.listed.zone.c_str());
+        entry.setAddress(who.listed.address.c_str());
+        entry.setLeaving(who.listed.leaving);
+    }
+    return kj::READY_NOW;
+}
+
 } // namespace rhubarbgrade
--- a/src/router/router_server.hpp
+++ b/src/router/router_server.hpp
@@ -23,6 +23,7 @@
     kj::Promise<void> claim(ClaimContext context) override;
     kj::Promise<void> answer(AnswerContext context) override;
     kj::Promise<void> dropClaim(DropClaimContext context) override;
+    kj::Promise<void> hosts(HostsContext context) override;
 
 private:
     control_core& m_core;
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -237,7 +237,13 @@
 reply fleet::chat(const std::string& host, int max_tokens, bool stream,
                   const std::string& key, const std::string& text)
 {
-    auto client = client_of(router(host).port());
+    return chat_at(router(host).port(), max_tokens, stream, key, text);
+}
+
+reply fleet::chat_at(int port, int max_tokens, bool stream,
+                     const std::string& key, const std::string& text)
+{
+    auto client = client_of(port);
     const json body{{"model", "m"},
                     {"max_tokens", max_tokens},
                     {"stream", stream},
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -51,6 +51,11 @@
     reply chat(const std::string& host, int max_tokens, bool stream = true,
                const std::string& key = {}, const std::string& text = "hello");
 
+    /// Sends a model request to a port.
+    reply chat_at(int port, int max_tokens, bool stream = true,
+                  const std::string& key = {},
+                  const std::string& text = "hello");
+
     /// Sends a plain POST to /orders.
     reply order(const std::string& host, const std::string& key);
 
@@ -101,6 +106,9 @@
     /// one bill a run, the same tokens, spend within what was prepaid.
     void check_bills(long prepaid);
 
+    /// The events of a stand-in's record.
+    std::vector<nlohmann::json> record(const std::string& name) const;
+
     std::string log(const std::string& host) const;
     int platform_port() const;
     std::string write_objects(long prepaid, const std::string& more);
@@ -113,7 +121,6 @@
     link& add_link(const std::string& name, int target);
     std::string settings_of(const std::string& host);
     void put(int port, const std::string& page, const std::string& body);
-    std::vector<nlohmann::json> record(const std::string& name) const;
 
     plan m_plan;
     std::string m_folder;
--- a/tests/integration/process.hpp
+++ b/tests/integration/process.hpp
@@ -31,6 +31,11 @@
 
     bool running();
 
+    pid_t pid() const
+    {
+        return m_pid;
+    }
+
 private:
     void read_ports(int from);
 
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -106,6 +106,8 @@
         pump(state, target, caller, connection, false);
         up.join();
     }
+    // The watcher for cuts holds another descriptor of the caller's socket.
+    ::shutdown(caller, SHUT_RDWR);
     ::close(caller);
     ::close(target);
 }
