--- /dev/null
+++ b/cmake/setup.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs what the build and the tests need (Debian packages, as root).
+set -euo pipefail
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y --no-install-recommends \
+    g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl \
+    python3 libcapnp-dev libtomlplusplus-dev libspdlog-dev libgflags-dev \
+    libboost-dev libexpected-dev libcpp-httplib-dev nlohmann-json3-dev \
+    libxxhash-dev libssl-dev catch2 librapidcheck-dev
--- a/src/control/grant_manager.cpp
+++ b/src/control/grant_manager.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds exhausted_time{300};
 
 /// A round of the platform worker is waited for no longer than this.
-constexpr milliseconds round_limit{600};
+constexpr milliseconds round_limit{1500};
 
 /// With more customers than this, nothing is drawn before a first request.
 constexpr std::size_t drawn_ahead_limit = 500;
