--- a/src/caller/plain_call.cpp
+++ b/src/caller/plain_call.cpp
@@ -13,6 +13,7 @@
 #include <httplib.h>       // Client, Request, Response
 #include <spdlog/spdlog.h> // logger
 
+#include <rhubarbgrade/detail/base/clock.hpp>              // wall_milliseconds
 #include <rhubarbgrade/detail/base/hash.hpp>               // hash_hex
 #include <rhubarbgrade/detail/budget/operation.hpp>        // answer_key
 #include <rhubarbgrade/detail/caller/activity.hpp>         // activity
@@ -93,9 +94,7 @@
     const auto begin = key.rfind('.', tail - 1) + 1;
     const auto issued =
         std::strtoull(key.substr(begin, tail - begin).c_str(), nullptr, 10);
-    const auto now = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    return static_cast<std::uint64_t>(now.count()) > issued + key_lifetime_ms;
+    return wall_milliseconds() > issued + key_lifetime_ms;
 }
 
 /// One call on its way.
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp> // json
 #include <spdlog/spdlog.h>   // logger
 
+#include <rhubarbgrade/detail/base/clock.hpp>    // wall_milliseconds
 #include <rhubarbgrade/detail/base/hash.hpp>     // hash64
 #include <rhubarbgrade/detail/routing/slots.hpp> // assigned_slots
 
@@ -33,13 +34,6 @@
 /// A quarantined request is told in heartbeats for so long.
 constexpr std::chrono::seconds news_time{10};
 
-std::uint64_t boot_now()
-{
-    const auto now = system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now).count());
-}
-
 std::uint64_t digest_of(const std::vector<listed_host>& hosts)
 {
     std::string text;
@@ -65,7 +59,7 @@
     : m_settings(read),
       m_log(std::move(log)),
       m_hooks(std::move(hooks)),
-      m_boot(boot_now()),
+      m_boot(wall_milliseconds()),
       m_random(hash64(read.host, m_boot)),
       m_peers(network, timer,
               [this](const std::string& host)
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -14,7 +14,8 @@
 #include <kj/async-io.h>        // setupAsyncIo
 #include <spdlog/spdlog.h>      // logger
 
-#include <rhubarbgrade/detail/base/hash.hpp> // random_hex
+#include <rhubarbgrade/detail/base/clock.hpp> // wall_milliseconds
+#include <rhubarbgrade/detail/base/hash.hpp>  // random_hex
 
 #include "../platform/configuration_watcher.hpp" // configuration_watcher
 #include "../platform/platform_worker.hpp"       // platform_worker
@@ -24,18 +25,6 @@
 
 namespace rhubarbgrade
 {
-namespace
-{
-
-std::uint64_t wall_milliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now).count());
-}
-
-} // namespace
-
 class control_plane::implementation
 {
 public:
--- a/src/platform/ledger_registrar.cpp
+++ b/src/platform/ledger_registrar.cpp
@@ -10,6 +10,7 @@
 
 #include <spdlog/spdlog.h> // logger
 
+#include <rhubarbgrade/detail/base/clock.hpp>          // wall_milliseconds
 #include <rhubarbgrade/detail/platform/bill_batch.hpp> // bill_batch
 #include <rhubarbgrade/detail/platform/object_api.hpp> // object_api
 
@@ -18,18 +19,6 @@
 
 namespace rhubarbgrade
 {
-namespace
-{
-
-std::uint64_t wall_milliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now).count());
-}
-
-} // namespace
-
 ledger_registrar::ledger_registrar(const settings& read, control_loop control,
                                    object_api& api, budget_writer& budgets,
                                    std::shared_ptr<spdlog::logger> log)
--- a/src/telemetry/objective_log.cpp
+++ b/src/telemetry/objective_log.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::int64_t minutes_kept = 6 * 60;
+constexpr std::int64_t minutes_kept = 360;
 
 double seconds(milliseconds time)
 {
