--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -320,6 +320,14 @@
                 host_link(host, other, mode);
 }
 
+void fleet::cut_zone(const std::string& zone, const std::string& mode)
+{
+    zone_link(zone, mode);
+    for (const auto& [host, home] : m_zone_of)
+        if (home == zone)
+            platform_link(host, mode);
+}
+
 void fleet::engine_link(const std::string& name, const std::string& mode)
 {
     put(m_links.at("to-" + name)->carrier.port("control"), "/fault",
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -78,6 +78,9 @@
     /// Sets the mode of the links between hosts of different zones.
     void zone_link(const std::string& zone, const std::string& mode);
 
+    /// Sets the mode of all links of a zone to other zones and the platform.
+    void cut_zone(const std::string& zone, const std::string& mode);
+
     /// Sets the mode of the link from one host to another.
     void host_link(const std::string& from, const std::string& to,
                    const std::string& mode);
--- a/tests/integration/integration-cuts.cpp
+++ b/tests/integration/integration-cuts.cpp
@@ -26,13 +26,6 @@
     return wanted;
 }
 
-void cut_zone(fleet& all, const std::string& zone, const std::string& mode)
-{
-    all.zone_link(zone, mode);
-    for (const char* const number : {"1", "2"})
-        all.platform_link(zone + number, mode);
-}
-
 /// Spends until every router refuses.
 void spend_all(fleet& all, const std::vector<std::string>& hosts, int tokens)
 {
@@ -64,14 +57,14 @@
     const auto mode = GENERATE(std::string("cut"), std::string("silent"));
     const auto wanted = two_zones(60000);
     fleet all(wanted);
-    cut_zone(all, "b", mode);
+    all.cut_zone("b", mode);
 
     SECTION("goes on serving, and nobody overspends on either side")
     {
         CHECK(all.chat("b1", 20).whole);
         CHECK(all.chat("b2", 20).whole);
         spend_all(all, {"a1", "b1", "a2", "b2"}, 400);
-        cut_zone(all, "b", "pass");
+        all.cut_zone("b", "pass");
         all.check_bills(wanted.prepaid);
     }
 
@@ -84,7 +77,7 @@
             {
                 return all.chat("a1", 400, false).status == 200;
             }));
-        cut_zone(all, "b", "pass");
+        all.cut_zone("b", "pass");
         CHECK(until(
             [&]
             {
@@ -146,7 +139,7 @@
 {
     const auto wanted = two_zones(60000);
     fleet all(wanted);
-    cut_zone(all, "b", "cut");
+    all.cut_zone("b", "cut");
     all.router("b2").kill();
     CHECK(until(
         [&]
@@ -154,7 +147,7 @@
             return all.chat("b1", 20).whole;
         }));
     spend_all(all, {"a1", "b1", "a2"}, 400);
-    cut_zone(all, "b", "pass");
+    all.cut_zone("b", "pass");
     CHECK(until(
         [&]
         {
--- a/tests/integration/integration-once.cpp
+++ b/tests/integration/integration-once.cpp
@@ -26,13 +26,6 @@
     return wanted;
 }
 
-void cut_zone(fleet& all, const std::string& zone, const std::string& mode)
-{
-    all.zone_link(zone, mode);
-    for (const char* const number : {"1", "2"})
-        all.platform_link(zone + number, mode);
-}
-
 } // namespace
 
 TEST_CASE("a call that may not be repeated")
@@ -65,10 +58,10 @@
 
     SECTION("with a key of its caller's, in a cut zone: refused, truly")
     {
-        cut_zone(all, "b", "cut");
+        all.cut_zone("b", "cut");
         CHECK(all.order("b1", "k1").ran == "no");
         CHECK(all.order("a1", "k1").status == 200);
-        cut_zone(all, "b", "pass");
+        all.cut_zone("b", "pass");
         CHECK(until(
             [&]
             {
@@ -81,7 +74,7 @@
     {
         const auto key = all.issued_key("b1");
         REQUIRE_FALSE(key.empty());
-        cut_zone(all, "b", "cut");
+        all.cut_zone("b", "cut");
         CHECK(all.order("b1", key).status == 200);
         CHECK(all.order("b2", key).status == 200);
         CHECK(all.order("a1", key).ran == "no");
