Thin path on the users' platform: adapter, store client, escrow, event-driven front

Cause: the product spoke only its own interface; nothing served on the users' platform. Ruled out: asio::detached for tasks, which hid a std::bad_alloc from a temporary in a co_await argument (g++ 12); such temporaries are locals now and tasks log what ends them.

--- a/cmake/setup.sh
+++ b/cmake/setup.sh
@@ -6,5 +6,5 @@
 apt-get install -y --no-install-recommends \
     g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl \
     python3 libcapnp-dev libtomlplusplus-dev libspdlog-dev libgflags-dev \
-    libboost-dev libexpected-dev libcpp-httplib-dev nlohmann-json3-dev \
+    libboost1.81-dev libexpected-dev libcpp-httplib-dev nlohmann-json3-dev \
     libxxhash-dev libssl-dev catch2 librapidcheck-dev
--- a/include/rhubarbgrade/detail/endpoint/sse_splitter.hpp
+++ b/include/rhubarbgrade/detail/endpoint/sse_splitter.hpp
@@ -22,6 +22,12 @@
     bool add(std::string_view bytes,
              const std::function<bool(std::string_view)>& take);
 
+    /// @brief What was received of an event that isn't whole yet.
+    std::string_view rest() const
+    {
+        return m_rest;
+    }
+
 private:
     std::string m_rest;
 };
--- /dev/null
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>     // uint64_t
+#include <map>         // map
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <rhubarbgrade/detail/base/error.hpp> // result
+#include <rhubarbgrade/detail/base/types.hpp> // token_count_t
+
+namespace rhubarbgrade
+{
+
+/// @brief Tokens by customer.
+using token_map_t = std::map<std::string, token_count_t, std::less<>>;
+
+/// @brief What one host has taken out of the budgets.
+struct escrow_holding
+{
+    std::string incarnation; ///< of the process that may spend it
+    std::string address;     ///< where peers ask the host for its state
+    token_map_t drawn;       ///< taken in all by this incarnation
+    token_map_t used;        ///< spent, as far as it has said
+};
+
+/// @brief The shared account of all budgets; lies in the store as one object
+///        that changes by conditional writes only.
+struct escrow_book
+{
+    token_map_t closed;      ///< drawn by incarnations that have ended
+    token_map_t closed_used; ///< the part of it that is known to be spent
+    std::map<std::string, escrow_holding, std::less<>> hosts;
+};
+
+/// @brief Tokens of a budget that no one has drawn.
+/// @note Complexity: the number of hosts.
+token_count_t undrawn(const escrow_book& book, std::string_view customer,
+                      token_count_t prepaid);
+
+/// @brief Tokens that are certainly spent.
+token_count_t known_used(const escrow_book& book, std::string_view customer);
+
+/// @brief Starts a host's holding anew for its new incarnation. What the old
+///        one drew counts as spent: the store can't prove less.
+/// @return whether the book changed
+bool adopt(escrow_book& book, std::string_view host,
+           std::string_view incarnation, std::string_view address);
+
+/// @brief What a host has and uses of one budget.
+struct wallet_state
+{
+    token_count_t drawn = 0;    ///< confirmed by the store
+    token_count_t reserved = 0; ///< bound of the requests in flight
+    token_count_t used = 0;     ///< by requests that have ended
+    token_count_t waiting = 0;  ///< bound of requests that wait for tokens
+    token_count_t largest = 0;  ///< largest bound of a request seen lately
+    double rate = 0;            ///< tokens used a second
+};
+
+/// @brief How far ahead hosts draw.
+struct escrow_policy
+{
+    double low_s = 3;         ///< draw when holding less than this much use
+    double target_s = 6;      ///< draw up to this much use; rides out an outage
+    double high_s = 14;       ///< give back what is over this much use
+    double share_left = 0.25; ///< of what is left, the most a draw takes
+    double first_share = 0.05; ///< of the budget, over all hosts, at the start
+    std::size_t hosts = 1;
+};
+
+/// @brief What a host should have drawn in all: more, less or the same.
+/// @param[in] state    the host's side
+/// @param[in] left     undrawn tokens in the store
+/// @param[in] prepaid  the budget
+/// @return the new value for its holding; never under what is in use
+token_count_t desired_draw(const wallet_state& state, token_count_t left,
+                           token_count_t prepaid, const escrow_policy& policy);
+
+/// @brief Whether a request can't fit into a budget, whoever holds the rest.
+bool certainly_exhausted(const escrow_book& book, std::string_view customer,
+                         token_count_t prepaid, token_count_t bound);
+
+/// @brief The book as JSON text.
+std::string encode_book(const escrow_book& book);
+
+/// @brief Reads what @ref encode_book wrote.
+result<escrow_book> decode_book(std::string_view text);
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/include/rhubarbgrade/detail/fleet/endpoint_entry.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint> // uint32_t, uint64_t
+#include <string>  // string
+
+#include <rhubarbgrade/detail/fleet/node_settings.hpp> // socket_address
+
+namespace rhubarbgrade
+{
+
+/// @brief What an endpoint says of itself in the host list.
+struct endpoint_entry
+{
+    std::string id;
+    std::string service;
+    socket_address address;
+    std::string zone;
+    std::string version;
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    std::uint64_t started = 0; ///< start of the process, ms since 1970
+
+    bool operator==(const endpoint_entry&) const = default;
+};
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/escrow/escrow.cpp
@@ -0,0 +1,137 @@
+#include <rhubarbgrade/detail/escrow/escrow.hpp>
+
+#include <algorithm>   // max, min
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <nlohmann/json.hpp> // json
+
+namespace rhubarbgrade
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+token_count_t value_of(const token_map_t& tokens, std::string_view customer)
+{
+    const auto found = tokens.find(customer);
+    return found == tokens.end() ? 0 : found->second;
+}
+
+token_count_t over(token_count_t whole, token_count_t part)
+{
+    return whole > part ? whole - part : 0;
+}
+
+token_count_t tokens_for(double rate, double seconds)
+{
+    return static_cast<token_count_t>(std::max(0.0, rate * seconds));
+}
+
+} // namespace
+
+token_count_t undrawn(const escrow_book& book, std::string_view customer,
+                      token_count_t prepaid)
+{
+    token_count_t drawn = value_of(book.closed, customer);
+    for (const auto& [host, holding] : book.hosts)
+        drawn += value_of(holding.drawn, customer);
+    return over(prepaid, drawn);
+}
+
+token_count_t known_used(const escrow_book& book, std::string_view customer)
+{
+    token_count_t used = value_of(book.closed_used, customer);
+    for (const auto& [host, holding] : book.hosts)
+        used += value_of(holding.used, customer);
+    return used;
+}
+
+bool adopt(escrow_book& book, std::string_view host,
+           std::string_view incarnation, std::string_view address)
+{
+    auto& mine = book.hosts[std::string(host)];
+    if (mine.incarnation == incarnation)
+        return false;
+    for (const auto& [customer, tokens] : mine.drawn)
+        book.closed[customer] += tokens;
+    for (const auto& [customer, tokens] : mine.used)
+        book.closed_used[customer] += tokens;
+    mine = {std::string(incarnation), std::string(address), {}, {}};
+    return true;
+}
+
+token_count_t desired_draw(const wallet_state& state, token_count_t left,
+                           token_count_t prepaid, const escrow_policy& policy)
+{
+    const auto in_use = state.reserved + state.used;
+    const auto free = over(state.drawn, in_use);
+    const auto first = static_cast<token_count_t>(
+        static_cast<double>(prepaid) * policy.first_share /
+        static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
+    const auto floor = std::max(first, 2 * state.largest);
+    const auto low = std::max(floor / 2, tokens_for(state.rate, policy.low_s)) +
+                     state.waiting;
+    const auto target =
+        std::max(floor, tokens_for(state.rate, policy.target_s)) +
+        state.waiting;
+    const auto high =
+        std::max(2 * floor, tokens_for(state.rate, policy.high_s)) +
+        state.waiting;
+    if (free < low)
+    {
+        const auto most = std::max(
+            state.waiting, static_cast<token_count_t>(
+                               static_cast<double>(left) * policy.share_left));
+        return state.drawn + std::min({over(target, free), most, left});
+    }
+    if (free > high)
+        return in_use + target;
+    return state.drawn;
+}
+
+bool certainly_exhausted(const escrow_book& book, std::string_view customer,
+                         token_count_t prepaid, token_count_t bound)
+{
+    return known_used(book, customer) + bound > prepaid;
+}
+
+std::string encode_book(const escrow_book& book)
+{
+    json hosts = json::object();
+    for (const auto& [name, holding] : book.hosts)
+        hosts[name] = {{"incarnation", holding.incarnation},
+                       {"address", holding.address},
+                       {"drawn", holding.drawn},
+                       {"used", holding.used}};
+    return json{{"closed", book.closed},
+                {"closed_used", book.closed_used},
+                {"hosts", std::move(hosts)}}
+        .dump();
+}
+
+result<escrow_book> decode_book(std::string_view text)
+try
+{
+    const auto source = json::parse(text);
+    escrow_book book;
+    source.at("closed").get_to(book.closed);
+    source.at("closed_used").get_to(book.closed_used);
+    for (const auto& [name, each] : source.at("hosts").items())
+    {
+        auto& holding = book.hosts[name];
+        each.at("incarnation").get_to(holding.incarnation);
+        each.at("address").get_to(holding.address);
+        each.at("drawn").get_to(holding.drawn);
+        each.at("used").get_to(holding.used);
+    }
+    return book;
+}
+catch (const json::exception& fault)
+{
+    return failure(errc::malformed, "decode escrow", "store", fault.what());
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/gateway/room_queue.cpp
@@ -0,0 +1,62 @@
+#include "room_queue.hpp"
+
+#include <algorithm> // find
+#include <memory>    // make_shared
+#include <string>    // string
+#include <utility>   // move
+
+#include <boost/asio/as_tuple.hpp>      // as_tuple
+#include <boost/asio/use_awaitable.hpp> // use_awaitable
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Requests that wait for one service on one host; with bodies of about 20 KB
+/// they hold some megabytes.
+constexpr std::size_t most_waiting = 128;
+
+} // namespace
+
+room_queue::room_queue(asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+asio::awaitable<bool> room_queue::wait(std::string service, time_point_t until)
+{
+    auto& queue = m_queues[service];
+    if (queue.size() >= most_waiting || time_point_t::clock::now() >= until)
+        co_return false;
+    const auto timer = std::make_shared<asio::steady_timer>(m_executor, until);
+    queue.push_back(timer);
+    const auto [woken] =
+        co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+    if (woken)
+        co_return true;
+    const auto place = std::find(queue.begin(), queue.end(), timer);
+    if (place != queue.end())
+        queue.erase(place);
+    co_return false;
+}
+
+void room_queue::wake(std::string_view service)
+{
+    const auto found = m_queues.find(service);
+    if (found == m_queues.end() || found->second.empty())
+        return;
+    found->second.front()->cancel();
+    found->second.pop_front();
+}
+
+std::size_t room_queue::waiting(std::string_view service) const
+{
+    const auto found = m_queues.find(service);
+    return found == m_queues.end() ? 0 : found->second.size();
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/node/escrow_keeper.cpp
@@ -0,0 +1,329 @@
+#include "escrow_keeper.hpp"
+
+#include <algorithm> // min
+#include <string>    // string
+#include <utility>   // move
+
+#include <boost/asio/as_tuple.hpp>      // as_tuple
+#include <boost/asio/use_awaitable.hpp> // use_awaitable
+#include <spdlog/spdlog.h>              // error, info, warn
+
+#include <platform/store_calls.hpp> // decode_object, object_target
+
+#include "../store/store_client.hpp" // store_client
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+using boost::beast::http::verb;
+
+namespace
+{
+
+constexpr const char* book_kind = "escrow";
+constexpr const char* book_name = "main";
+
+/// Time-out of a call: many times the store's usual answer of 4 ms, and short
+/// beside the use that a holding covers (3 s and more).
+constexpr milliseconds call_timeout{800};
+
+/// Longest pause between two looks at what is needed. Each write is paid for,
+/// so draws are sized for seconds.
+constexpr milliseconds look_pause{400};
+
+/// Pause after a failed call.
+constexpr milliseconds failure_pause{150};
+
+/// Age at which the book is read again while a budget is drawn out: another
+/// host may have given some back.
+constexpr milliseconds exhausted_pause{2000};
+
+token_count_t value_of(const token_map_t& tokens, std::string_view customer)
+{
+    const auto found = tokens.find(customer);
+    return found == tokens.end() ? 0 : found->second;
+}
+
+} // namespace
+
+escrow_keeper::escrow_keeper(asio::any_io_executor executor,
+                             store_client& store, node_identity identity,
+                             escrow_listener listener)
+    : m_store(store),
+      m_identity(std::move(identity)),
+      m_listener(std::move(listener)),
+      m_wake(executor)
+{
+}
+
+void escrow_keeper::set_budgets(token_map_t budgets)
+{
+    m_budgets = std::move(budgets);
+    if (adopted())
+        tell();
+    m_wake.cancel();
+}
+
+void escrow_keeper::set_hosts(std::size_t hosts)
+{
+    m_policy.hosts = hosts;
+}
+
+void escrow_keeper::note_states(wallet_states_t states)
+{
+    bool urgent = false;
+    for (const auto& [customer, state] : states)
+        urgent = urgent || state.waiting != 0;
+    m_states = std::move(states);
+    if (urgent)
+        m_wake.cancel();
+}
+
+void escrow_keeper::note_lowered(const token_map_t& holdings)
+{
+    for (const auto& [customer, tokens] : holdings)
+    {
+        m_usable[customer] = std::min(value_of(m_usable, customer), tokens);
+        m_lowering.erase(customer);
+    }
+    m_wake.cancel();
+}
+
+bool escrow_keeper::adopted() const
+{
+    const auto mine = m_book.hosts.find(m_identity.host);
+    return mine != m_book.hosts.end() &&
+           mine->second.incarnation == m_identity.incarnation;
+}
+
+void escrow_keeper::tell()
+{
+    budget_news_t news;
+    m_exhausted = false;
+    for (const auto& [customer, prepaid] : m_budgets)
+    {
+        const auto left = undrawn(m_book, customer, prepaid);
+        m_exhausted = m_exhausted || left == 0;
+        news[customer] = {value_of(m_usable, customer), left,
+                          known_used(m_book, customer), prepaid};
+    }
+    m_listener.news(std::move(news));
+}
+
+void escrow_keeper::confirm()
+{
+    if (!adopted())
+    {
+        // Another process of this host has the holding: this one is replaced.
+        m_usable.clear();
+        return;
+    }
+    const auto& drawn = m_book.hosts[m_identity.host].drawn;
+    const bool open = m_pending && m_pending->revision == m_revision;
+    if (!open)
+        m_pending.reset();
+    for (const auto& [customer, tokens] : drawn)
+    {
+        auto sure = tokens;
+        if (open)
+            sure = std::min(sure, value_of(m_pending->drawn, customer));
+        // A holding that is being given back isn't raised by an older book.
+        if (!m_lowering.contains(customer))
+            m_usable[customer] = sure;
+        else
+            m_usable[customer] = std::min(sure, value_of(m_usable, customer));
+    }
+}
+
+void escrow_keeper::take_over(const std::string& body)
+{
+    const auto object = platform::decode_object(body);
+    if (!object)
+    {
+        spdlog::error("{}", object.error().message());
+        m_stale = true;
+        return;
+    }
+    if (object->revision < m_revision)
+        return;
+    auto book = decode_book(object->spec);
+    if (!book)
+    {
+        spdlog::error("{}", book.error().message());
+        m_stale = true;
+        return;
+    }
+    m_book = std::move(*book);
+    m_revision = object->revision;
+    m_stale = false;
+    m_read_at = time_point_t::clock::now();
+    confirm();
+    tell();
+}
+
+asio::awaitable<void> escrow_keeper::create()
+{
+    auto body = platform::spec_body(book_name, std::nullopt,
+                                    encode_book(escrow_book()));
+    co_await m_store.call(call_purpose::budget, verb::post,
+                          platform::list_target(book_kind, ""), std::move(body),
+                          call_timeout);
+}
+
+asio::awaitable<void> escrow_keeper::refresh()
+{
+    const auto answer = co_await m_store.call(
+        call_purpose::budget, verb::get,
+        platform::object_target(book_kind, book_name), {}, call_timeout);
+    if (answer.is(200))
+        take_over(answer.body);
+    else if (answer.is(404))
+        co_await create();
+    else
+        spdlog::warn("escrow not read: status {}", answer.status);
+}
+
+asio::awaitable<escrow_keeper::write_end>
+escrow_keeper::write(escrow_book wanted)
+{
+    const auto revision = m_revision;
+    m_pending = pending_write{revision, wanted.hosts[m_identity.host].drawn};
+    auto body = platform::spec_body(book_name, revision, encode_book(wanted));
+    const auto answer =
+        co_await m_store.call(call_purpose::budget, verb::put,
+                              platform::object_target(book_kind, book_name),
+                              std::move(body), call_timeout);
+    if (answer.is(200) || answer.is(409))
+    {
+        m_pending.reset();
+        take_over(answer.body);
+        co_return answer.is(200) ? write_end::done : write_end::lost_race;
+    }
+    spdlog::warn("draw not confirmed: status {} {}", answer.status,
+                 answer.body);
+    // 429 and 503 say that nothing was done.
+    if (answer.is(429) || answer.is(503) || answer.end == call_end::not_sent)
+        m_pending.reset();
+    else
+        m_stale = true;
+    co_return write_end::failed;
+}
+
+void escrow_keeper::ask_to_lower(const token_map_t& targets)
+{
+    token_map_t asked;
+    for (const auto& [customer, tokens] : targets)
+        if (m_lowering.emplace(customer, tokens).second)
+            asked[customer] = tokens;
+    if (!asked.empty())
+        m_listener.lower(std::move(asked));
+}
+
+escrow_book escrow_keeper::plan(bool& changed)
+{
+    auto wanted = m_book;
+    changed = adopt(wanted, m_identity.host, m_identity.incarnation,
+                    m_identity.address);
+    auto& mine = wanted.hosts[m_identity.host];
+    token_map_t back;
+    for (const auto& [customer, prepaid] : m_budgets)
+    {
+        wallet_state state;
+        if (const auto found = m_states.find(customer); found != m_states.end())
+            state = found->second;
+        auto& drawn = mine.drawn[customer];
+        const auto usable = value_of(m_usable, customer);
+        mine.used[customer] = state.used;
+        if (usable < drawn && !m_lowering.contains(customer) && !m_pending)
+        {
+            drawn = usable; // given back by the traffic thread
+            changed = true;
+            continue;
+        }
+        state.drawn = drawn;
+        const auto next = desired_draw(
+            state, undrawn(m_book, customer, prepaid), prepaid, m_policy);
+        if (next > drawn)
+        {
+            drawn = next;
+            changed = true;
+        }
+        else if (next < drawn)
+            back[customer] = next;
+    }
+    if (!changed)
+        ask_to_lower(back);
+    return wanted;
+}
+
+asio::awaitable<milliseconds> escrow_keeper::step()
+{
+    const auto now = time_point_t::clock::now();
+    if (m_exhausted && now - m_read_at > exhausted_pause)
+        m_stale = true;
+    if (m_stale || m_revision == 0)
+        co_await refresh();
+    if (m_stale || m_revision == 0 || m_budgets.empty())
+        co_return failure_pause;
+    bool changed = false;
+    auto wanted = plan(changed);
+    if (!changed)
+        co_return look_pause;
+    switch (co_await write(std::move(wanted)))
+    {
+    case write_end::done:
+        co_return look_pause;
+    case write_end::lost_race:
+        co_return milliseconds(0);
+    case write_end::failed:
+        break;
+    }
+    co_return failure_pause;
+}
+
+asio::awaitable<void> escrow_keeper::run()
+{
+    m_running = true;
+    while (!m_closing)
+    {
+        const auto pause = co_await step();
+        if (pause == milliseconds(0))
+            continue;
+        m_wake.expires_after(pause);
+        co_await m_wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    m_running = false;
+}
+
+asio::awaitable<void> escrow_keeper::close(wallet_states_t last)
+{
+    m_closing = true;
+    m_wake.cancel();
+    asio::steady_timer poll(m_wake.get_executor());
+    while (m_running)
+    {
+        poll.expires_after(milliseconds(5));
+        co_await poll.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    constexpr int tries = 5;
+    for (int i = 0; i < tries && adopted(); ++i)
+    {
+        if (m_stale)
+            co_await refresh();
+        auto wanted = m_book;
+        auto& mine = wanted.hosts[m_identity.host];
+        for (const auto& [customer, state] : last)
+        {
+            mine.used[customer] = state.used;
+            mine.drawn[customer] = std::min(value_of(mine.drawn, customer),
+                                            state.used + state.reserved);
+        }
+        if (co_await write(std::move(wanted)) == write_end::done)
+            co_return;
+    }
+    spdlog::warn("unused tokens of {} stay drawn: the store took no write",
+                 m_identity.host);
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/node/move_keeper.cpp
@@ -0,0 +1,152 @@
+#include "move_keeper.hpp"
+
+#include <chrono>  // duration, duration_cast
+#include <string>  // string
+#include <utility> // move
+
+#include <spdlog/spdlog.h> // info, warn
+
+#include <platform/object_decoders.hpp> // decode_move, encode_move_status
+
+#include "../store/spawn.hpp"        // spawn
+#include "../store/store_client.hpp" // store_client
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+using boost::beast::http::verb;
+
+namespace
+{
+
+constexpr milliseconds call_timeout{800};
+
+} // namespace
+
+move_keeper::move_keeper(asio::any_io_executor executor, store_client& store)
+    : m_executor(std::move(executor)), m_store(store)
+{
+}
+
+void move_keeper::put(const move_order& order, time_point_t now)
+{
+    auto& known = m_moves[order.service];
+    if (known.order.target != order.target ||
+        known.order.created != order.created)
+    {
+        known = {};
+        known.seen = now;
+        known.decayed = now;
+        known.step.target_share = m_policy.share;
+    }
+    // A decision of this host that waits to be written isn't taken back by
+    // the order's older state.
+    const bool decided = known.step.state != order_state::running;
+    known.order = order;
+    if (order.state == order_state::running && !decided)
+        return;
+    if (order.state != order_state::running)
+        known.step.state = order.state;
+    known.step.target_share =
+        known.step.state == order_state::succeeded ? 1 : 0;
+}
+
+void move_keeper::remove(const std::string& service)
+{
+    m_moves.erase(service);
+}
+
+void move_keeper::note(const version_sample& sample)
+{
+    const auto found = m_moves.find(sample.service);
+    if (found == m_moves.end())
+        return;
+    add_sample(found->second.evidence[sample.route],
+               sample.version == found->second.order.target, sample.good,
+               sample.latency_s);
+}
+
+void move_keeper::set_peer_evidence(const std::string& peer,
+                                    const std::string& service,
+                                    move_evidence_t evidence)
+{
+    const auto found = m_moves.find(service);
+    if (found != m_moves.end())
+        found->second.peers[peer] = std::move(evidence);
+}
+
+void move_keeper::tick(time_point_t now)
+{
+    for (auto& [service, each] : m_moves)
+    {
+        if (each.order.state != order_state::running)
+            continue;
+        decay(each.evidence,
+              std::chrono::duration<double>(now - each.decayed).count());
+        each.decayed = now;
+        if (each.step.state == order_state::running)
+        {
+            auto pooled = each.evidence;
+            for (const auto& [peer, evidence] : each.peers)
+                merge(pooled, evidence);
+            each.step = decide_trial(
+                pooled,
+                std::chrono::duration_cast<milliseconds>(now - each.seen),
+                each.order.limit, m_policy);
+            if (each.step.state != order_state::running)
+                spdlog::info("move of {} to {}: {}", service, each.order.target,
+                             each.step.reason);
+        }
+        if (each.step.state != order_state::running && !each.writing)
+        {
+            each.writing = true;
+            auto order = each.order;
+            order.state = each.step.state;
+            spawn(m_executor, write_end(service, std::move(order)),
+                  "report of a move");
+        }
+    }
+}
+
+asio::awaitable<void> move_keeper::write_end(std::string service,
+                                             move_order order)
+{
+    auto body = platform::status_body(service, order.revision,
+                                      platform::encode_move_status(order));
+    const auto answer = co_await m_store.call(
+        call_purpose::move, verb::put,
+        platform::status_target(platform::move_kind, service), std::move(body),
+        call_timeout);
+    const auto found = m_moves.find(service);
+    if (found == m_moves.end())
+        co_return;
+    found->second.writing = false;
+    if (!answer.is(200) && !answer.is(409))
+        co_return; // tried again at the next tick
+    const auto object = platform::decode_object(answer.body);
+    if (!object)
+    {
+        spdlog::warn("{}", object.error().message());
+        co_return;
+    }
+    if (const auto now_there = platform::decode_move(*object))
+        put(*now_there, time_point_t::clock::now());
+}
+
+std::map<std::string, trial_split, std::less<>> move_keeper::splits() const
+{
+    std::map<std::string, trial_split, std::less<>> found;
+    for (const auto& [service, each] : m_moves)
+        found[service] = {each.order.target, each.step.target_share};
+    return found;
+}
+
+bool move_keeper::knows(const std::string& service,
+                        const std::string& version) const
+{
+    const auto found = m_moves.find(service);
+    return found != m_moves.end() && found->second.order.target == version;
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/node/node_control.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr
+#include <string>     // string
+
+#include <boost/asio/awaitable.hpp>    // awaitable
+#include <boost/asio/io_context.hpp>   // io_context
+#include <boost/asio/steady_timer.hpp> // steady_timer
+
+#include <rhubarbgrade/detail/fleet/endpoint_book.hpp> // endpoint_book
+#include <rhubarbgrade/detail/fleet/fleet_view.hpp>    // fleet_view_ptr_t
+#include <rhubarbgrade/detail/fleet/node_settings.hpp> // node_settings
+
+#include "../gateway/traffic_context.hpp" // version_sample
+#include "../store/store_client.hpp"      // store_client
+#include "../store/watcher.hpp"           // watch_listener
+#include "escrow_keeper.hpp"              // escrow_keeper
+#include "move_keeper.hpp"                // move_keeper
+
+namespace rhubarbgrade
+{
+
+/// @brief What control tells the traffic thread; each runs there.
+struct traffic_port
+{
+    std::function<void(fleet_view_ptr_t)> view;
+    escrow_listener escrow;
+};
+
+/// @brief The control thread: follows the store and decides what the traffic
+///        thread works with.
+class node_control
+{
+public:
+    node_control(boost::asio::io_context& loop, const node_settings& settings,
+                 node_identity identity, traffic_port traffic);
+
+    /// @brief Starts to follow the store.
+    void start();
+
+    void note_states(wallet_states_t states);
+    void note_lowered(const token_map_t& holdings);
+    void note_samples(const std::vector<version_sample>& samples);
+
+    /// @brief Gives unused tokens back, then calls @a done.
+    void close(wallet_states_t last, std::function<void()> done);
+
+private:
+    watch_listener configuration_listener();
+    watch_listener endpoint_listener();
+    watch_listener move_listener();
+    void take_configuration(const platform::stored_object& object);
+    void take_endpoint(const platform::stored_object& object);
+    void publish();
+    boost::asio::awaitable<void> tick();
+
+    boost::asio::io_context& m_loop;
+    const node_settings& m_settings;
+    traffic_port m_traffic;
+    store_client m_store;
+    escrow_keeper m_escrow;
+    move_keeper m_moves;
+    endpoint_book m_endpoints;
+    std::shared_ptr<const deployment> m_configuration;
+    std::vector<endpoint_entry> m_published;
+    std::size_t m_hosts = 1;
+    bool m_endpoints_known = false;
+};
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/routing/shared_retry.cpp
@@ -0,0 +1,71 @@
+#include <rhubarbgrade/detail/routing/shared_retry.hpp>
+
+#include <algorithm> // max
+#include <chrono>    // duration_cast
+#include <cstdint>   // int64_t
+
+namespace rhubarbgrade
+{
+
+namespace
+{
+
+/// Part of the limit that is used: windows of the hosts and of those who
+/// count differ by a slice, and requests may be counted late.
+constexpr double used_part = 0.7;
+
+std::int64_t slice_number(const shared_retry_limit& limit, time_point_t now)
+{
+    const auto length = std::max(
+        milliseconds(1), limit.window / static_cast<int>(retry_counts::slices));
+    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) /
+           length;
+}
+
+/// Clears the slices that have left the window.
+void advance(retry_counts& counts, std::int64_t number)
+{
+    const auto size = static_cast<std::int64_t>(retry_counts::slices);
+    const auto first = std::max(counts.newest + 1, number - size + 1);
+    for (auto each = first; each <= number; ++each)
+        counts.ring[static_cast<std::size_t>(each % size)] = {};
+    counts.newest = std::max(counts.newest, number);
+}
+
+retry_counts::slice& current(retry_counts& counts)
+{
+    return counts
+        .ring[static_cast<std::size_t>(counts.newest) % retry_counts::slices];
+}
+
+} // namespace
+
+void note_first(retry_counts& counts, const shared_retry_limit& limit,
+                time_point_t now)
+{
+    advance(counts, slice_number(limit, now));
+    ++current(counts).requests;
+}
+
+bool take_retry(retry_counts& counts, const shared_retry_limit& limit,
+                time_point_t now)
+{
+    advance(counts, slice_number(limit, now));
+    double requests = 0;
+    double retries = 0;
+    for (const auto& each : counts.ring)
+    {
+        requests += each.requests;
+        retries += each.retries;
+    }
+    const auto allowed =
+        used_part * (limit.ratio * requests +
+                     limit.slack / static_cast<double>(
+                                       std::max<std::size_t>(1, limit.hosts)));
+    if (retries + 1 > allowed)
+        return false;
+    ++current(counts).retries;
+    return true;
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/store/http_link.cpp
@@ -0,0 +1,128 @@
+#include "http_link.hpp"
+
+#include <string>  // string
+#include <utility> // move
+
+#include <boost/asio/as_tuple.hpp>          // as_tuple
+#include <boost/asio/use_awaitable.hpp>     // use_awaitable
+#include <boost/beast/http/read.hpp>        // async_read
+#include <boost/beast/http/string_body.hpp> // string_body
+#include <boost/beast/http/write.hpp>       // async_write
+
+#include "socket_options.hpp" // is_quiet, set_liveness
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// Gives errors as values, so that a lost connection throws nothing.
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
+/// Largest answer: a page of a list holds about 1 MB.
+constexpr std::uint64_t body_limit = 8U << 20U;
+
+} // namespace
+
+http_link::http_link(asio::any_io_executor executor, socket_address peer)
+    : m_socket(executor), m_timer(executor), m_peer(std::move(peer))
+{
+}
+
+void http_link::close()
+{
+    boost::system::error_code ignored; // closing a dead socket may fail
+    m_socket.close(ignored);
+    m_buffer.clear();
+}
+
+bool http_link::quiet()
+{
+    return is_quiet(m_socket);
+}
+
+void http_link::start_timer(milliseconds timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait(
+        [weak = weak_from_this(), call = m_calls](auto fault)
+        {
+            const auto self = weak.lock();
+            if (!fault && self && self->m_calls == call)
+                self->close();
+        });
+}
+
+asio::awaitable<bool> http_link::connect()
+{
+    close();
+    const auto address = to_endpoint(m_peer);
+    if (!address)
+        co_return false;
+    const auto [fault] = co_await m_socket.async_connect(*address, as_values);
+    if (fault)
+    {
+        close();
+        co_return false;
+    }
+    set_liveness(m_socket);
+    co_return true;
+}
+
+asio::awaitable<call_result>
+http_link::exchange(http::verb verb, std::string target, std::string body)
+{
+    constexpr unsigned http_1_1 = 11;
+    http::request<http::string_body> request(verb, target, http_1_1);
+    request.set(http::field::host, m_peer.ip);
+    if (!body.empty())
+    {
+        request.set(http::field::content_type, "application/json");
+        request.body() = std::move(body);
+    }
+    request.prepare_payload();
+    const auto [write_fault, written] =
+        co_await http::async_write(m_socket, request, as_values);
+    if (write_fault)
+    {
+        close();
+        co_return call_result{
+            written == 0 ? call_end::not_sent : call_end::unknown, 0, {}};
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit);
+    const auto [read_fault, count] =
+        co_await http::async_read(m_socket, m_buffer, parser, as_values);
+    if (read_fault)
+    {
+        close();
+        co_return call_result{call_end::unknown, 0, {}};
+    }
+    call_result found{call_end::answered, parser.get().result_int(),
+                      std::move(parser.get().body())};
+    if (!parser.keep_alive() || m_buffer.size() != 0)
+        close();
+    co_return found;
+}
+
+asio::awaitable<call_result> http_link::call(http::verb verb,
+                                             std::string target,
+                                             std::string body,
+                                             milliseconds timeout)
+{
+    const auto self = shared_from_this();
+    ++m_calls;
+    start_timer(timeout);
+    call_result found;
+    if (m_socket.is_open() || co_await connect())
+        found = co_await exchange(verb, std::move(target), std::move(body));
+    ++m_calls;
+    m_timer.cancel();
+    co_return found;
+}
+
+} // namespace rhubarbgrade
