Peers: beats, states for hosts without the store, pooled evidence and crashes

Cause: a host that the store refuses learned nothing; limits counted one host; a bad version was judged by each host alone; a request that crashes endpoints was run again by each host. Change: small Cap'n Proto datagrams to all peers twice a second; a host without the store that hears of something newer asks that peer for its state; hosts and their addresses come from the escrow object. Messages, not RPC: one event loop a thread, and a lost datagram needs no repair.

--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -2,7 +2,9 @@
 
 #include <cstddef> // size_t
 #include <map>     // map
+#include <cstdint> // uint64_t
 #include <memory>  // shared_ptr
+#include <set>     // set
 #include <string>  // string
 #include <vector>  // vector
 
@@ -28,6 +30,8 @@
     std::vector<endpoint_entry> endpoints;           ///< leaving ones left out
     std::map<std::string, trial_split, std::less<>> splits; ///< by service
     std::size_t hosts = 1; ///< hosts of the fleet that share limits
+    /// Fingerprints of requests that crash the endpoints that run them.
+    std::set<std::uint64_t> quarantined;
 };
 
 using fleet_view_ptr_t = std::shared_ptr<const fleet_view>;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -7,6 +7,7 @@
 #include <string_view> // string_view
 #include <utility>     // move
 
+#include <rhubarbgrade/detail/base/hash.hpp>      // hash64
 #include <rhubarbgrade/detail/routing/repeat.hpp> // may_repeat
 
 namespace rhubarbgrade
@@ -30,6 +31,9 @@
 constexpr milliseconds least_pause{250};
 constexpr milliseconds pause_spread{500};
 
+/// Told to a caller whose request crashes endpoints; long, since it never runs.
+constexpr milliseconds quarantine_pause{5000};
+
 /// Part of a route's objective that a request may wait for tokens or a place.
 constexpr int wait_part = 2;
 
@@ -129,6 +133,13 @@
     co_return co_await m_writer.write_whole(std::move(message));
 }
 
+std::uint64_t caller_exchange::fingerprint() const
+{
+    const std::string_view target(m_request.target().data(),
+                                  m_request.target().size());
+    return hash64(m_request.body(), hash64(target, hash64(m_head.key)));
+}
+
 std::optional<own_answer> caller_exchange::check_request()
 {
     if (!m_view->configuration)
@@ -143,6 +154,10 @@
         m_customer = find_customer(configuration, m_head.key);
     if (configuration.keys_needed && !m_route->open && m_customer == nullptr)
         return own_answer{unauthorized, "unknown key", {}};
+    if (!m_view->quarantined.empty() &&
+        m_view->quarantined.contains(fingerprint()))
+        return own_answer{unavailable, "the request has crashed endpoints",
+                          quarantine_pause};
     m_service = pick_service(*m_route, m_context.random);
     const auto wait = m_head.deadline
                           ? std::min(*m_head.deadline, m_route->timeout)
@@ -307,6 +322,8 @@
         if (!m_left && !m_expired)
             m_context.directory.note_end(
                 *endpoint, report.whole && report.status < 500, now);
+        if (!m_left && !m_expired && report.broken)
+            endpoint_directory::note_broken(*endpoint, fingerprint(), now);
         note_sample(*endpoint, report);
         if (report.whole)
             for (const auto& part : m_head.parts)
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -50,6 +50,7 @@
     std::optional<own_answer> check_request();
     bool may_repeat(const attempt_report& report);
     void start_deadline();
+    std::uint64_t fingerprint() const;
     void settle();
     void note_sample(const pool_endpoint& endpoint,
                      const attempt_report& report);
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -203,12 +203,14 @@
     m_link = co_await m_directory.connect(m_endpoint, !plan.repeatable);
     if (!m_link || m_cancelled)
         co_return report;
-    if (!co_await send(plan, report))
-        co_return report;
     std::unique_ptr<parser_t> parser;
     platform::answer_head head;
-    if (!co_await read_head(plan, parser, head))
+    if (!co_await send(plan, report) ||
+        !co_await read_head(plan, parser, head))
+    {
+        report.broken = report.end == attempt_end::may_have_run;
         co_return report;
+    }
     const auto now = time_point_t::clock::now();
     report.latency_s = std::chrono::duration<double>(now - begun).count();
     report.status = parser->get().result_int();
@@ -226,6 +228,7 @@
         co_await read_body(passed, *parser, report);
         report.written = report.whole && m_writer.begun();
         reusable = report.whole;
+        report.broken = !report.whole && !report.caller_lost;
     }
     else
         reusable = co_await drop_body(*parser);
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -31,6 +31,7 @@
     std::string body;         ///< unless it was written piece by piece
     bool written = false;     ///< piece by piece, to the end
     bool caller_lost = false; ///< writing to the caller failed
+    bool broken = false;      ///< the connection broke before a whole answer
     double latency_s = -1;    ///< to the first byte
 };
 
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -49,6 +49,10 @@
 /// Time constant with which a reported load loses its weight, seconds.
 constexpr double report_memory_s = 1.0;
 
+/// An endpoint that can't be reached this soon after a connection broke has
+/// crashed; it is back after some seconds.
+constexpr milliseconds crash_window{1500};
+
 std::uint64_t affinity_of(std::span<const platform::prompt_part> parts)
 {
     // The last part belongs to the request or its session alone; the one
@@ -94,10 +98,13 @@
 } // namespace
 
 endpoint_directory::endpoint_directory(asio::any_io_executor executor,
-                                       std::string zone, random_source_t random)
+                                       std::string zone, random_source_t random,
+                                       std::function<void(std::uint64_t)>
+                                           crashed)
     : m_executor(std::move(executor)),
       m_zone(std::move(zone)),
-      m_random(std::move(random))
+      m_random(std::move(random)),
+      m_crashed(std::move(crashed))
 {
 }
 
@@ -223,11 +230,30 @@
         *address, asio::as_tuple(asio::use_awaitable));
     const bool in_time = limit.cancel() != 0;
     if (!in_time || fault)
+    {
+        note_unreachable(*endpoint, time_point_t::clock::now());
         co_return nullptr;
+    }
     set_liveness(link->socket);
     co_return link;
 }
 
+void endpoint_directory::note_broken(pool_endpoint& endpoint,
+                                     std::uint64_t fingerprint,
+                                     time_point_t now)
+{
+    endpoint.broken.push_back({fingerprint, now});
+}
+
+void endpoint_directory::note_unreachable(pool_endpoint& endpoint,
+                                          time_point_t now)
+{
+    for (const auto& each : endpoint.broken)
+        if (now - each.at < crash_window)
+            m_crashed(each.fingerprint);
+    endpoint.broken.clear();
+}
+
 void endpoint_directory::keep(pool_endpoint& endpoint, endpoint_link_ptr_t link,
                               time_point_t now)
 {
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
 #include <span>          // span
@@ -41,8 +42,11 @@
 class endpoint_directory
 {
 public:
+    /// @param[in] crashed  called for each request that an endpoint was
+    ///                     running when it crashed
     endpoint_directory(boost::asio::any_io_executor executor, std::string zone,
-                       random_source_t random);
+                       random_source_t random,
+                       std::function<void(std::uint64_t)> crashed);
 
     /// @brief Takes over a new view of the fleet.
     void update(const fleet_view_ptr_t& view);
@@ -67,6 +71,11 @@
     /// @brief Notes how a request ended at an endpoint.
     void note_end(pool_endpoint& endpoint, bool good, time_point_t now);
 
+    /// @brief Notes that a connection broke while it carried a request. If the
+    ///        endpoint can't be reached soon after, it has crashed.
+    static void note_broken(pool_endpoint& endpoint, std::uint64_t fingerprint,
+                            time_point_t now);
+
     /// @brief Notes what an endpoint says of its load.
     static void note_load(pool_endpoint& endpoint,
                           const platform::answer_head& answer,
@@ -83,7 +92,10 @@
 
     boost::asio::any_io_executor m_executor;
     std::string m_zone;
+    void note_unreachable(pool_endpoint& endpoint, time_point_t now);
+
     random_source_t m_random;
+    std::function<void(std::uint64_t)> m_crashed;
     fleet_view_ptr_t m_view;
     std::unordered_map<std::string, endpoint_ptr_t> m_by_id;
     std::map<std::string, std::vector<endpoint_ptr_t>, std::less<>>
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -48,6 +48,15 @@
     double reported_load = 0; ///< part of the slots in use
     time_point_t reported_at{};
     read_parts parts;
+
+    /// A request that was running when its connection broke.
+    struct broken_run
+    {
+        std::uint64_t fingerprint = 0;
+        time_point_t at{};
+    };
+
+    std::vector<broken_run> broken;
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -51,11 +51,13 @@
                     const node_settings& with_settings,
                     random_source_t with_random,
                     std::function<void()> tokens_wanted,
-                    std::function<void(const version_sample&)> with_sample)
+                    std::function<void(const version_sample&)> with_sample,
+                    std::function<void(std::uint64_t)> crashed)
         : executor(with_executor),
           settings(with_settings),
           random(with_random),
-          directory(with_executor, with_settings.zone, with_random),
+          directory(with_executor, with_settings.zone, with_random,
+                    std::move(crashed)),
           wallets(with_executor, std::move(tokens_wanted)),
           room(with_executor),
           sample(std::move(with_sample))
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -22,6 +22,7 @@
     std::function<void(wallet_states_t)> states;
     std::function<void(token_map_t)> lowered;
     std::function<void(std::vector<version_sample>)> samples;
+    std::function<void(std::uint64_t)> crashed;
 };
 
 /// @brief The traffic thread: takes callers' connections and answers the
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -65,11 +65,6 @@
     m_wake.cancel();
 }
 
-void escrow_keeper::set_hosts(std::size_t hosts)
-{
-    m_policy.hosts = hosts;
-}
-
 void escrow_keeper::note_states(wallet_states_t states)
 {
     bool urgent = false;
@@ -158,6 +153,8 @@
     m_revision = object->revision;
     m_stale = false;
     m_read_at = time_point_t::clock::now();
+    m_policy.hosts = m_book.hosts.size();
+    m_listener.seen(m_book);
     confirm();
     tell();
 }
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -34,6 +34,8 @@
     std::function<void(budget_news_t)> news;
     /// Holdings to give back; answered by @ref escrow_keeper::note_lowered.
     std::function<void(token_map_t)> lower;
+    /// The account has been seen; it names the hosts of the fleet.
+    std::function<void(const escrow_book&)> seen;
 };
 
 /// @brief Draws tokens out of the shared account and gives them back.
@@ -50,9 +52,6 @@
     /// @brief Takes over the budgets of a configuration.
     void set_budgets(token_map_t budgets);
 
-    /// @brief Takes over the number of hosts, which sizes the first draw.
-    void set_hosts(std::size_t hosts);
-
     /// @brief Takes over what the traffic thread holds and needs.
     void note_states(wallet_states_t states);
 
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -68,12 +68,31 @@
 }
 
 void move_keeper::set_peer_evidence(const std::string& peer,
-                                    const std::string& service,
-                                    move_evidence_t evidence)
+                                    const shared_evidence& evidence)
 {
-    const auto found = m_moves.find(service);
-    if (found != m_moves.end())
-        found->second.peers[peer] = std::move(evidence);
+    const auto found = m_moves.find(evidence.service);
+    if (found != m_moves.end() &&
+        found->second.order.target == evidence.target)
+        found->second.peers[peer] = evidence.routes;
+}
+
+std::vector<shared_evidence> move_keeper::evidence() const
+{
+    std::vector<shared_evidence> all;
+    for (const auto& [service, each] : m_moves)
+        if (each.order.state == order_state::running)
+            all.push_back({service, each.order.target, each.evidence});
+    return all;
+}
+
+std::vector<shared_move> move_keeper::moves(time_point_t now) const
+{
+    std::vector<shared_move> all;
+    for (const auto& [service, each] : m_moves)
+        all.push_back(
+            {each.order,
+             std::chrono::duration_cast<milliseconds>(now - each.seen)});
+    return all;
 }
 
 void move_keeper::tick(time_point_t now)
@@ -142,11 +161,4 @@
     return found;
 }
 
-bool move_keeper::knows(const std::string& service,
-                        const std::string& version) const
-{
-    const auto found = m_moves.find(service);
-    return found != m_moves.end() && found->second.order.target == version;
-}
-
 } // namespace rhubarbgrade
--- a/src/node/move_keeper.hpp
+++ b/src/node/move_keeper.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbgrade/detail/moves/trial.hpp>      // trial_policy
 
 #include "../gateway/traffic_context.hpp" // version_sample
+#include "../peers/peer_state.hpp"        // shared_evidence, shared_move
 
 namespace rhubarbgrade
 {
@@ -30,8 +31,14 @@
     void note(const version_sample& sample);
 
     /// @brief Takes over what other hosts have seen of a move.
-    void set_peer_evidence(const std::string& peer, const std::string& service,
-                           move_evidence_t evidence);
+    void set_peer_evidence(const std::string& peer,
+                           const shared_evidence& evidence);
+
+    /// @brief This host's evidence on the moves that run.
+    std::vector<shared_evidence> evidence() const;
+
+    /// @brief The moves that this host knows, for a peer.
+    std::vector<shared_move> moves(time_point_t now) const;
 
     /// @brief Lets time pass; writes the end of a move that has come to it.
     void tick(time_point_t now);
@@ -39,9 +46,6 @@
     /// @brief How each service's requests are to be split now.
     std::map<std::string, trial_split, std::less<>> splits() const;
 
-    /// Versions that may get requests though they are new to this host.
-    bool knows(const std::string& service, const std::string& version) const;
-
 private:
     struct tracked_move
     {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,6 +92,11 @@
                            control.note_samples(samples);
                        });
         };
+        port.crashed = [this](std::uint64_t fingerprint)
+        {
+            asio::post(control_loop, [this, fingerprint]
+                       { control.note_crash(fingerprint); });
+        };
         return port;
     }
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -10,6 +10,8 @@
 #include <spdlog/spdlog.h>              // info, warn
 
 #include <platform/object_decoders.hpp> // decode_deployment, decode_endpoint
+#include <rhubarbgrade/detail/base/address.hpp> // split_address
+#include <rhubarbgrade/detail/base/hash.hpp>    // hash64
 
 #include "../store/spawn.hpp" // spawn
 
@@ -25,6 +27,14 @@
 /// shortest bound that they are part of.
 constexpr milliseconds tick_pause{200};
 
+/// Age of the store's last answer up to which this host needs no peers; a
+/// watch returns at least every 2 s.
+constexpr milliseconds fresh_time{2600};
+
+/// How long this host's own watch may take to bring a configuration that a
+/// peer has, before the peer is asked.
+constexpr milliseconds own_watch_first{300};
+
 } // namespace
 
 node_control::node_control(asio::io_context& loop,
@@ -32,12 +42,31 @@
                            node_identity identity, traffic_port traffic)
     : m_loop(loop),
       m_settings(settings),
+      m_identity(std::move(identity)),
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
-      m_escrow(loop.get_executor(), m_store, std::move(identity),
-               m_traffic.escrow),
-      m_moves(loop.get_executor(), m_store)
+      m_escrow(loop.get_executor(), m_store, m_identity,
+               listener_for_escrow()),
+      m_moves(loop.get_executor(), m_store),
+      m_peers(loop, settings, listener_for_peers())
+{
+}
+
+escrow_listener node_control::listener_for_escrow()
+{
+    auto made = m_traffic.escrow;
+    made.seen = [this](const escrow_book& book) { take_hosts(book); };
+    return made;
+}
+
+peer_listener node_control::listener_for_peers()
 {
+    peer_listener made;
+    made.beat = [this] { return make_beat(); };
+    made.state = [this] { return make_state(); };
+    made.heard = [this](const peer_beat& beat) { take_beat(beat); };
+    made.caught_up = [this](const peer_state& state) { take_state(state); };
+    return made;
 }
 
 void node_control::start()
@@ -54,6 +83,7 @@
           follow(m_store, std::string(platform::move_kind), move_listener()),
           "watch of the moves");
     spawn(m_loop, m_escrow.run(), "escrow");
+    m_peers.start();
     spawn(m_loop, tick(), "control tick");
 }
 
@@ -63,14 +93,16 @@
     made.snapshot = [this](const auto& objects)
     {
         for (const auto& each : objects)
-            take_configuration(each);
+            if (each.name == platform::configuration_name)
+                take_configuration(each.spec);
     };
     made.changed = [this](const auto& event)
     {
-        if (!event.removed)
-            take_configuration(event.object);
+        if (!event.removed &&
+            event.object.name == platform::configuration_name)
+            take_configuration(event.object.spec);
     };
-    made.answered = [](bool) {};
+    made.answered = [this](bool answered) { note_answer(answered); };
     return made;
 }
 
@@ -103,6 +135,7 @@
     };
     made.answered = [this](bool answered)
     {
+        note_answer(answered);
         note_store(m_endpoints, answered, time_point_t::clock::now());
     };
     return made;
@@ -133,15 +166,25 @@
             take(event.object);
         publish();
     };
-    made.answered = [](bool) {};
+    made.answered = [this](bool answered) { note_answer(answered); };
     return made;
 }
 
-void node_control::take_configuration(const platform::stored_object& object)
+void node_control::note_answer(bool answered)
 {
-    if (object.name != platform::configuration_name)
-        return;
-    auto read = platform::decode_deployment(object.spec);
+    const auto now = time_point_t::clock::now();
+    if (answered)
+        m_answered = now;
+}
+
+bool node_control::fresh(time_point_t now) const
+{
+    return m_endpoints.reachable && now - m_answered < fresh_time;
+}
+
+void node_control::take_configuration(const std::string& spec)
+{
+    auto read = platform::decode_deployment(spec);
     if (!read)
     {
         spdlog::error("configuration kept: {}", read.error().message());
@@ -155,6 +198,8 @@
         if (each.prepaid)
             budgets[each.name] = *each.prepaid;
     m_configuration = std::make_shared<const deployment>(std::move(*read));
+    m_configuration_text = spec;
+    m_behind_since = {};
     spdlog::info("configuration {} in force", m_configuration->version);
     publish();
     m_escrow.set_budgets(std::move(budgets));
@@ -179,9 +224,107 @@
     made->endpoints = usable_endpoints(m_endpoints, time_point_t::clock::now());
     made->splits = m_moves.splits();
     made->hosts = m_hosts;
+    made->quarantined = m_crashes.quarantined();
     m_traffic.view(std::move(made));
 }
 
+void node_control::take_hosts(const escrow_book& book)
+{
+    std::map<std::string, socket_address> peers;
+    for (const auto& [host, holding] : book.hosts)
+    {
+        auto [ip, port] = split_address(holding.address);
+        peers[host] = {std::move(ip), static_cast<std::uint16_t>(port)};
+    }
+    m_peers.set_peers(peers);
+    if (m_hosts == book.hosts.size())
+        return;
+    m_hosts = book.hosts.size();
+    publish();
+}
+
+std::uint64_t node_control::state_digest() const
+{
+    std::string text;
+    for (const auto& [id, known] : m_endpoints.endpoints)
+        if (!known.gone)
+            text.append(id).append(known.entry.leaving ? "-" : "+");
+    for (const auto& each : m_moves.moves(m_answered))
+        text.append(each.order.service)
+            .append(each.order.target)
+            .append(1, static_cast<char>('0' + static_cast<int>(
+                                                   each.order.state)));
+    return hash64(text);
+}
+
+peer_beat node_control::make_beat()
+{
+    const auto now = time_point_t::clock::now();
+    peer_beat beat;
+    beat.host = m_settings.host;
+    beat.incarnation = m_identity.incarnation;
+    beat.configuration = m_configuration ? m_configuration->version : 0;
+    beat.fresh = fresh(now);
+    beat.state_digest = state_digest();
+    beat.evidence = m_moves.evidence();
+    beat.crashes = m_crashes.own(now);
+    return beat;
+}
+
+peer_state node_control::make_state() const
+{
+    peer_state state;
+    state.configuration = m_configuration_text;
+    state.version = m_configuration ? m_configuration->version : 0;
+    for (const auto& [id, known] : m_endpoints.endpoints)
+        if (!known.gone)
+            state.endpoints.push_back(known.entry);
+    state.moves = m_moves.moves(time_point_t::clock::now());
+    return state;
+}
+
+void node_control::take_beat(const peer_beat& beat)
+{
+    const auto now = time_point_t::clock::now();
+    for (const auto& each : beat.evidence)
+        m_moves.set_peer_evidence(beat.host, each);
+    if (m_crashes.set_peer(beat.host, beat.crashes, now))
+        publish();
+    const auto version = m_configuration ? m_configuration->version : 0;
+    if (beat.configuration > version)
+    {
+        if (m_behind_since == time_point_t{})
+            m_behind_since = now;
+        if (now - m_behind_since >= own_watch_first)
+            m_peers.ask(beat.host);
+    }
+    else if (beat.fresh && !fresh(now) && beat.state_digest != state_digest())
+        m_peers.ask(beat.host);
+}
+
+void node_control::take_state(const peer_state& state)
+{
+    const auto now = time_point_t::clock::now();
+    if (!state.configuration.empty() &&
+        (!m_configuration || state.version > m_configuration->version))
+        take_configuration(state.configuration);
+    if (fresh(now))
+        return;
+    replace_endpoints(m_endpoints, state.endpoints, now);
+    m_endpoints_known = true;
+    for (const auto& each : state.moves)
+        m_moves.put(each.order, now - each.elapsed);
+    publish();
+}
+
+void node_control::note_crash(std::uint64_t fingerprint)
+{
+    spdlog::warn("an endpoint crashed while it ran request {:016x}",
+                 fingerprint);
+    if (m_crashes.note(fingerprint, time_point_t::clock::now()))
+        publish();
+}
+
 void node_control::note_states(wallet_states_t states)
 {
     m_escrow.note_states(std::move(states));
--- /dev/null
+++ b/src/peers/peer_exchange.cpp
@@ -0,0 +1,178 @@
+#include "peer_exchange.hpp"
+
+#include <array>   // array
+#include <memory>  // make_shared
+#include <string>  // string
+#include <utility> // move
+
+#include <boost/asio/as_tuple.hpp>           // as_tuple
+#include <boost/asio/buffer.hpp>             // buffer
+#include <boost/asio/steady_timer.hpp>       // steady_timer
+#include <boost/asio/use_awaitable.hpp>      // use_awaitable
+#include <boost/beast/http/empty_body.hpp>   // empty_body
+#include <boost/beast/http/read.hpp>         // async_read
+#include <boost/beast/http/string_body.hpp>  // string_body
+#include <boost/beast/http/write.hpp>        // async_write
+#include <spdlog/spdlog.h>                   // warn
+
+#include "../store/http_link.hpp"      // http_link
+#include "../store/socket_options.hpp" // to_endpoint
+#include "../store/spawn.hpp"          // spawn
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
+/// Pause between beats: a bad version and a new configuration are to be known
+/// within 2 s, also if a beat or two are lost.
+constexpr milliseconds beat_pause{500};
+
+/// Time-out of a question; a state is some kilobytes.
+constexpr milliseconds question_timeout{700};
+
+constexpr std::size_t largest_datagram = 60000;
+constexpr int backlog = 64;
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::io_context& loop,
+                             const node_settings& settings,
+                             peer_listener listener)
+    : m_loop(loop),
+      m_settings(settings),
+      m_listener(std::move(listener)),
+      m_socket(loop),
+      m_acceptor(loop)
+{
+}
+
+void peer_exchange::start()
+{
+    const auto own = to_endpoint(m_settings.control);
+    if (!own || m_settings.peer_port == 0)
+    {
+        spdlog::warn("no addresses for peers in the settings: none are told");
+        return;
+    }
+    m_socket.open(asio::ip::udp::v4());
+    m_socket.bind({own->address(), m_settings.peer_port});
+    m_acceptor.open(asio::ip::tcp::v4());
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(*own);
+    m_acceptor.listen(backlog);
+    spawn(m_loop, send_beats(), "beats to peers");
+    spawn(m_loop, receive_beats(), "beats from peers");
+    spawn(m_loop, accept_questions(), "questions of peers");
+}
+
+void peer_exchange::set_peers(const std::map<std::string, socket_address>& peers)
+{
+    m_peers = peers;
+    m_peers.erase(m_settings.host);
+}
+
+asio::awaitable<void> peer_exchange::send_beats()
+{
+    asio::steady_timer timer(m_loop);
+    for (;;)
+    {
+        timer.expires_after(beat_pause);
+        co_await timer.async_wait(as_values);
+        if (m_peers.empty())
+            continue;
+        const auto bytes = encode_beat(m_listener.beat());
+        for (const auto& [host, address] : m_peers)
+        {
+            const auto to = to_endpoint(address);
+            if (!to || bytes.size() > largest_datagram)
+                continue;
+            boost::system::error_code ignored; // beats may be lost
+            m_socket.send_to(asio::buffer(bytes),
+                             {to->address(), m_settings.peer_port}, 0,
+                             ignored);
+        }
+    }
+}
+
+asio::awaitable<void> peer_exchange::receive_beats()
+{
+    std::string bytes(largest_datagram, '\0');
+    for (;;)
+    {
+        asio::ip::udp::endpoint from;
+        const auto [fault, count] = co_await m_socket.async_receive_from(
+            asio::buffer(bytes), from, as_values);
+        if (fault)
+            continue;
+        const auto beat = decode_beat(std::string_view(bytes).substr(0, count));
+        if (beat)
+            m_listener.heard(*beat);
+        else
+            spdlog::warn("beat dropped: {}", beat.error().message());
+    }
+}
+
+void peer_exchange::ask(const std::string& host)
+{
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end() || m_asking)
+        return;
+    m_asking = true;
+    spawn(m_loop, ask_one(found->second), "question to a peer");
+}
+
+asio::awaitable<void> peer_exchange::ask_one(socket_address address)
+{
+    const auto link =
+        std::make_shared<http_link>(m_loop.get_executor(), address);
+    const auto answer = co_await link->call(http::verb::get, "/state", {},
+                                            question_timeout);
+    m_asking = false;
+    if (!answer.is(200))
+        co_return;
+    const auto state = decode_state(answer.body);
+    if (state)
+        m_listener.caught_up(*state);
+    else
+        spdlog::warn("{}", state.error().message());
+}
+
+asio::awaitable<void> peer_exchange::accept_questions()
+{
+    for (;;)
+    {
+        auto [fault, socket] = co_await m_acceptor.async_accept(as_values);
+        if (!fault)
+            spawn(m_loop, answer_questions(std::move(socket)),
+                  "answer to a peer");
+    }
+}
+
+asio::awaitable<void>
+peer_exchange::answer_questions(asio::ip::tcp::socket socket)
+{
+    constexpr unsigned http_1_1 = 11;
+    boost::beast::flat_buffer buffer;
+    http::request<http::empty_body> question;
+    const auto [fault, count] =
+        co_await http::async_read(socket, buffer, question, as_values);
+    if (fault)
+        co_return;
+    http::response<http::string_body> answer(http::status::ok, http_1_1);
+    if (question.target() == "/state")
+        answer.body() = encode_state(m_listener.state());
+    else
+        answer.result(http::status::not_found);
+    answer.keep_alive(false);
+    answer.prepare_payload();
+    co_await http::async_write(socket, answer, as_values);
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/peers/peer_protocol.capnp
@@ -0,0 +1,73 @@
+# What the hosts of a fleet tell each other.
+@0xb6f1d83c5a0e2947;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("rhubarbgrade::peer_protocol");
+
+struct Sums {
+  requests @0 :Float64;
+  errors @1 :Float64;
+  logLatency @2 :Float64;
+  logLatencySquare @3 :Float64;
+  timed @4 :Float64;
+}
+
+struct RouteEvidence {
+  route @0 :Text;
+  from @1 :Sums;
+  to @2 :Sums;
+  toAll @3 :Sums;
+  toRecent @4 :Sums;
+}
+
+struct MoveEvidence {
+  service @0 :Text;
+  target @1 :Text;
+  routes @2 :List(RouteEvidence);
+}
+
+struct Crashes {
+  fingerprint @0 :UInt64;
+  count @1 :UInt32;
+}
+
+# One datagram, sent to each peer several times a second.
+struct Beat {
+  host @0 :Text;
+  incarnation @1 :Text;
+  configuration @2 :UInt64;  # version in force
+  fresh @3 :Bool;            # the sender hears from the store
+  stateDigest @4 :UInt64;    # of the endpoints and moves that it knows
+  evidence @5 :List(MoveEvidence);
+  crashes @6 :List(Crashes);
+}
+
+struct Endpoint {
+  id @0 :Text;
+  service @1 :Text;
+  ip @2 :Text;
+  port @3 :UInt16;
+  zone @4 :Text;
+  version @5 :Text;
+  slots @6 :UInt32;
+  started @7 :UInt64;
+  leaving @8 :Bool;
+}
+
+struct Move {
+  service @0 :Text;
+  target @1 :Text;
+  limitMs @2 :Int64;
+  state @3 :UInt8;
+  revision @4 :UInt64;
+  created @5 :UInt64;
+  elapsedMs @6 :Int64;  # since the order was first seen
+}
+
+# The answer to a peer that asks for what it has missed.
+struct State {
+  configuration @0 :Text;  # as it lies in the store
+  version @1 :UInt64;
+  endpoints @2 :List(Endpoint);
+  moves @3 :List(Move);
+}
--- /dev/null
+++ b/src/peers/peer_state.cpp
@@ -0,0 +1,219 @@
+#include "peer_state.hpp"
+
+#include <cstring> // memcpy
+#include <string>  // string
+
+#include <capnp/message.h>   // MallocMessageBuilder
+#include <capnp/serialize.h> // FlatArrayMessageReader, messageToFlatArray
+#include <kj/exception.h>    // Exception
+
+#include "peer_protocol.capnp.h" // Beat, State
+
+namespace rhubarbgrade
+{
+
+namespace
+{
+
+namespace wire = peer_protocol;
+
+void write_sums(wire::Sums::Builder to, const sample_sums& from)
+{
+    to.setRequests(from.requests);
+    to.setErrors(from.errors);
+    to.setLogLatency(from.log_latency);
+    to.setLogLatencySquare(from.log_latency_square);
+    to.setTimed(from.timed);
+}
+
+sample_sums read_sums(wire::Sums::Reader from)
+{
+    return {from.getRequests(), from.getErrors(), from.getLogLatency(),
+            from.getLogLatencySquare(), from.getTimed()};
+}
+
+void write_evidence(wire::MoveEvidence::Builder to, const shared_evidence& from)
+{
+    to.setService(from.service);
+    to.setTarget(from.target);
+    auto routes = to.initRoutes(static_cast<unsigned>(from.routes.size()));
+    unsigned i = 0;
+    for (const auto& [name, sides] : from.routes)
+    {
+        auto route = routes[i++];
+        route.setRoute(name);
+        write_sums(route.initFrom(), sides.from);
+        write_sums(route.initTo(), sides.to);
+        write_sums(route.initToAll(), sides.to_all);
+        write_sums(route.initToRecent(), sides.to_recent);
+    }
+}
+
+shared_evidence read_evidence(wire::MoveEvidence::Reader from)
+{
+    shared_evidence made;
+    made.service = from.getService();
+    made.target = from.getTarget();
+    for (const auto route : from.getRoutes())
+        made.routes[route.getRoute()] = {
+            read_sums(route.getFrom()), read_sums(route.getTo()),
+            read_sums(route.getToAll()), read_sums(route.getToRecent())};
+    return made;
+}
+
+void write_endpoint(wire::Endpoint::Builder to, const endpoint_entry& from)
+{
+    to.setId(from.id);
+    to.setService(from.service);
+    to.setIp(from.address.ip);
+    to.setPort(from.address.port);
+    to.setZone(from.zone);
+    to.setVersion(from.version);
+    to.setSlots(from.slots);
+    to.setStarted(from.started);
+    to.setLeaving(from.leaving);
+}
+
+endpoint_entry read_endpoint(wire::Endpoint::Reader from)
+{
+    endpoint_entry made;
+    made.id = from.getId();
+    made.service = from.getService();
+    made.address = {from.getIp(), from.getPort()};
+    made.zone = from.getZone();
+    made.version = from.getVersion();
+    made.slots = from.getSlots();
+    made.started = from.getStarted();
+    made.leaving = from.getLeaving();
+    return made;
+}
+
+void write_move(wire::Move::Builder to, const shared_move& from)
+{
+    to.setService(from.order.service);
+    to.setTarget(from.order.target);
+    to.setLimitMs(from.order.limit.count());
+    to.setState(static_cast<std::uint8_t>(from.order.state));
+    to.setRevision(from.order.revision);
+    to.setCreated(from.order.created);
+    to.setElapsedMs(from.elapsed.count());
+}
+
+shared_move read_move(wire::Move::Reader from)
+{
+    shared_move made;
+    made.order.service = from.getService();
+    made.order.target = from.getTarget();
+    made.order.limit = milliseconds(from.getLimitMs());
+    made.order.state = static_cast<order_state>(from.getState());
+    made.order.revision = from.getRevision();
+    made.order.created = from.getCreated();
+    made.elapsed = milliseconds(from.getElapsedMs());
+    return made;
+}
+
+std::string flatten(capnp::MallocMessageBuilder& message)
+{
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+/// Runs a decoder on bytes from a peer, which may be anything.
+template <typename Message, typename Decode>
+auto guarded(std::string_view bytes, const char* step, Decode decode)
+    -> result<decltype(decode(std::declval<typename Message::Reader>()))>
+{
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), words.asBytes().size());
+    try
+    {
+        capnp::FlatArrayMessageReader reader(words);
+        return decode(reader.getRoot<Message>());
+    }
+    catch (const kj::Exception& fault)
+    {
+        return failure(errc::malformed, step, "peer",
+                       fault.getDescription().cStr());
+    }
+}
+
+} // namespace
+
+std::string encode_beat(const peer_beat& beat)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Beat>();
+    root.setHost(beat.host);
+    root.setIncarnation(beat.incarnation);
+    root.setConfiguration(beat.configuration);
+    root.setFresh(beat.fresh);
+    root.setStateDigest(beat.state_digest);
+    auto evidence =
+        root.initEvidence(static_cast<unsigned>(beat.evidence.size()));
+    for (unsigned i = 0; i < evidence.size(); ++i)
+        write_evidence(evidence[i], beat.evidence[i]);
+    auto crashes = root.initCrashes(static_cast<unsigned>(beat.crashes.size()));
+    unsigned i = 0;
+    for (const auto& [fingerprint, count] : beat.crashes)
+    {
+        crashes[i].setFingerprint(fingerprint);
+        crashes[i++].setCount(count);
+    }
+    return flatten(message);
+}
+
+result<peer_beat> decode_beat(std::string_view bytes)
+{
+    return guarded<wire::Beat>(
+        bytes, "decode beat",
+        [](wire::Beat::Reader root)
+        {
+            peer_beat beat;
+            beat.host = root.getHost();
+            beat.incarnation = root.getIncarnation();
+            beat.configuration = root.getConfiguration();
+            beat.fresh = root.getFresh();
+            beat.state_digest = root.getStateDigest();
+            for (const auto each : root.getEvidence())
+                beat.evidence.push_back(read_evidence(each));
+            for (const auto each : root.getCrashes())
+                beat.crashes[each.getFingerprint()] = each.getCount();
+            return beat;
+        });
+}
+
+std::string encode_state(const peer_state& state)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::State>();
+    root.setConfiguration(state.configuration);
+    root.setVersion(state.version);
+    auto endpoints =
+        root.initEndpoints(static_cast<unsigned>(state.endpoints.size()));
+    for (unsigned i = 0; i < endpoints.size(); ++i)
+        write_endpoint(endpoints[i], state.endpoints[i]);
+    auto moves = root.initMoves(static_cast<unsigned>(state.moves.size()));
+    for (unsigned i = 0; i < moves.size(); ++i)
+        write_move(moves[i], state.moves[i]);
+    return flatten(message);
+}
+
+result<peer_state> decode_state(std::string_view bytes)
+{
+    return guarded<wire::State>(
+        bytes, "decode state",
+        [](wire::State::Reader root)
+        {
+            peer_state state;
+            state.configuration = root.getConfiguration();
+            state.version = root.getVersion();
+            for (const auto each : root.getEndpoints())
+                state.endpoints.push_back(read_endpoint(each));
+            for (const auto each : root.getMoves())
+                state.moves.push_back(read_move(each));
+            return state;
+        });
+}
+
+} // namespace rhubarbgrade
