Escrow by what is left, trials in small samples, idle links dropped after a silent one

Draws ran dry in cuts of the store (3 to 6 s held); a refused write was repeated without a pause; a version failing half of its requests needed 30 samples to be called bad.

--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -60,21 +60,33 @@
 /// @brief How far ahead hosts draw.
 struct escrow_policy
 {
-    double low_s = 3;         ///< draw when holding less than this much use
-    double target_s = 6;      ///< draw up to this much use; rides out an outage
-    double high_s = 14;       ///< give back what is over this much use
-    double share_left = 0.25; ///< of what is left, the most a draw takes
+    double most_s = 10;        ///< never hold more than this much use
+    double least_s = 3;        ///< nor less, while there is any
+    double share_left = 0.3;   ///< of what is left, what all hosts may hold
+    double low_part = 0.5;     ///< of the target, under which a draw is due
+    double refill_part = 0.8;  ///< under which a draw that is made anyway
+                               ///< takes this customer along
+    double high_part = 2.2;    ///< of the target, over which tokens go back
     double first_share = 0.05; ///< of the budget, over all hosts, at the start
     std::size_t hosts = 1;
 };
 
+/// @brief How many seconds of use a host should hold.
+///
+/// Holding more rides out a longer outage of the store; what a host that dies
+/// holds is lost. So hosts hold more while plenty is left.
+double target_seconds(const wallet_state& state, token_count_t left,
+                      const escrow_policy& policy);
+
 /// @brief What a host should have drawn in all: more, less or the same.
 /// @param[in] state    the host's side
 /// @param[in] left     undrawn tokens in the store
 /// @param[in] prepaid  the budget
+/// @param[in] part     of the target under which to draw
 /// @return the new value for its holding; never under what is in use
 token_count_t desired_draw(const wallet_state& state, token_count_t left,
-                           token_count_t prepaid, const escrow_policy& policy);
+                           token_count_t prepaid, const escrow_policy& policy,
+                           double part);
 
 /// @brief Whether a request can't fit into a budget, whoever holds the rest.
 bool certainly_exhausted(const escrow_book& book, std::string_view customer,
--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstddef> // size_t
-#include <map>     // map
 #include <cstdint> // uint64_t
+#include <map>     // map
 #include <memory>  // shared_ptr
 #include <set>     // set
 #include <string>  // string
--- a/include/rhubarbgrade/detail/moves/trial.hpp
+++ b/include/rhubarbgrade/detail/moves/trial.hpp
@@ -12,9 +12,11 @@
 /// @brief How a trial of a new version is paced.
 struct trial_policy
 {
-    double share = 0.04; ///< of a service's requests, while on trial
-    milliseconds switch_before{900}; ///< end of the limit at which all move
-    milliseconds finish_before{350}; ///< at which the move is reported done
+    double share = 0.03;       ///< of a service's requests, while on trial
+    double first_share = 0.12; ///< until there are the first samples
+    double first_samples = 20; ///< well under the slack that is allowed
+    milliseconds switch_before{750}; ///< end of the limit at which all move
+    milliseconds finish_before{400}; ///< at which the move is reported done
 };
 
 /// @brief What is to be done with a move now.
--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbgrade/detail/escrow/escrow.hpp>
 
-#include <algorithm>   // max, min
+#include <algorithm>   // clamp, max, min
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -63,8 +63,20 @@
     return true;
 }
 
+double target_seconds(const wallet_state& state, token_count_t left,
+                      const escrow_policy& policy)
+{
+    const auto fleet_rate = state.rate * static_cast<double>(policy.hosts);
+    if (fleet_rate <= 0)
+        return policy.most_s;
+    return std::clamp(policy.share_left * static_cast<double>(left) /
+                          fleet_rate,
+                      policy.least_s, policy.most_s);
+}
+
 token_count_t desired_draw(const wallet_state& state, token_count_t left,
-                           token_count_t prepaid, const escrow_policy& policy)
+                           token_count_t prepaid, const escrow_policy& policy,
+                           double part)
 {
     const auto in_use = state.reserved + state.used;
     const auto free = over(state.drawn, in_use);
@@ -72,22 +84,19 @@
         static_cast<double>(prepaid) * policy.first_share /
         static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
     const auto floor = std::max(first, 2 * state.largest);
-    const auto low = std::max(floor / 2, tokens_for(state.rate, policy.low_s)) +
-                     state.waiting;
-    const auto target =
-        std::max(floor, tokens_for(state.rate, policy.target_s)) +
-        state.waiting;
-    const auto high =
-        std::max(2 * floor, tokens_for(state.rate, policy.high_s)) +
-        state.waiting;
-    if (free < low)
+    const auto target = std::max(
+        floor, tokens_for(state.rate, target_seconds(state, left, policy)));
+    const auto low = tokens_for(static_cast<double>(target), part);
+    if (free < low + state.waiting)
     {
         const auto most = std::max(
             state.waiting, static_cast<token_count_t>(
                                static_cast<double>(left) * policy.share_left));
-        return state.drawn + std::min({over(target, free), most, left});
+        return state.drawn +
+               std::min({over(target + state.waiting, free), most, left});
     }
-    if (free > high)
+    if (free > tokens_for(static_cast<double>(target), policy.high_part) +
+                   state.waiting)
         return in_use + target;
     return state.drawn;
 }
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -258,12 +258,18 @@
 void caller_exchange::note_sample(const pool_endpoint& endpoint,
                                   const attempt_report& report)
 {
-    if (m_left || report.end == attempt_end::not_sent)
+    if (report.end == attempt_end::not_sent && !report.whole)
         return;
     constexpr unsigned first_error = 500;
-    const bool good = report.whole && report.status < first_error;
-    m_context.sample({m_service, endpoint.entry.version, m_route->name, good,
-                      report.latency_s});
+    const bool good = m_left || (report.whole && report.status < first_error);
+    auto latency = report.latency_s;
+    // A caller that left without a byte has waited at least so long.
+    if (m_left && latency < 0)
+        latency = std::chrono::duration<double>(time_point_t::clock::now() -
+                                                m_started)
+                      .count();
+    m_context.sample(
+        {m_service, endpoint.entry.version, m_route->name, good, latency});
 }
 
 asio::awaitable<bool> caller_exchange::finish(attempt_report report)
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -205,8 +205,7 @@
         co_return report;
     std::unique_ptr<parser_t> parser;
     platform::answer_head head;
-    if (!co_await send(plan, report) ||
-        !co_await read_head(plan, parser, head))
+    if (!co_await send(plan, report) || !co_await read_head(plan, parser, head))
     {
         report.broken = report.end == attempt_end::may_have_run;
         co_return report;
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -97,10 +97,9 @@
 
 } // namespace
 
-endpoint_directory::endpoint_directory(asio::any_io_executor executor,
-                                       std::string zone, random_source_t random,
-                                       std::function<void(std::uint64_t)>
-                                           crashed)
+endpoint_directory::endpoint_directory(
+    asio::any_io_executor executor, std::string zone, random_source_t random,
+    std::function<void(std::uint64_t)> crashed)
     : m_executor(std::move(executor)),
       m_zone(std::move(zone)),
       m_random(std::move(random)),
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -73,7 +73,10 @@
               if (m_context.view->splits.contains(sample.service))
                   m_samples.push_back(sample);
           },
-          [this](std::uint64_t fingerprint) { m_control.crashed(fingerprint); }),
+          [this](std::uint64_t fingerprint)
+          {
+              m_control.crashed(fingerprint);
+          }),
       m_callers(loop),
       m_questions(loop)
 {
--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -56,8 +56,11 @@
 
 crash_counts_t crash_pool::own(time_point_t now)
 {
-    std::erase_if(m_own, [now](const auto& each)
-                  { return now - each.second.last > memory; });
+    std::erase_if(m_own,
+                  [now](const auto& each)
+                  {
+                      return now - each.second.last > memory;
+                  });
     crash_counts_t counts;
     for (const auto& [fingerprint, each] : m_own)
         counts[fingerprint] = each.count;
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -71,7 +71,7 @@
     for (const auto& [customer, state] : states)
         urgent = urgent || state.waiting != 0;
     m_states = std::move(states);
-    if (urgent)
+    if (urgent && !m_failing)
         m_wake.cancel();
 }
 
@@ -217,40 +217,72 @@
         m_listener.lower(std::move(asked));
 }
 
-escrow_book escrow_keeper::plan(bool& changed)
+wallet_state escrow_keeper::state_of(const std::string& customer,
+                                     token_count_t drawn) const
 {
-    auto wanted = m_book;
-    changed = adopt(wanted, m_identity.host, m_identity.incarnation,
-                    m_identity.address);
+    wallet_state state;
+    if (const auto found = m_states.find(customer); found != m_states.end())
+        state = found->second;
+    state.drawn = drawn;
+    return state;
+}
+
+bool escrow_keeper::give_back(escrow_book& wanted)
+{
+    if (m_pending)
+        return false;
+    bool any = false;
+    for (auto& [customer, drawn] : wanted.hosts[m_identity.host].drawn)
+    {
+        const auto usable = value_of(m_usable, customer);
+        if (usable >= drawn || m_lowering.contains(customer))
+            continue;
+        drawn = usable;
+        any = true;
+    }
+    return any;
+}
+
+bool escrow_keeper::draw(escrow_book& wanted, double part,
+                         token_map_t& back) const
+{
+    bool any = false;
     auto& mine = wanted.hosts[m_identity.host];
-    token_map_t back;
     for (const auto& [customer, prepaid] : m_budgets)
     {
-        wallet_state state;
-        if (const auto found = m_states.find(customer); found != m_states.end())
-            state = found->second;
         auto& drawn = mine.drawn[customer];
-        const auto usable = value_of(m_usable, customer);
-        mine.used[customer] = state.used;
-        if (usable < drawn && !m_lowering.contains(customer) && !m_pending)
-        {
-            drawn = usable; // given back by the traffic thread
-            changed = true;
-            continue;
-        }
-        state.drawn = drawn;
-        const auto next = desired_draw(
-            state, undrawn(m_book, customer, prepaid), prepaid, m_policy);
-        if (next > drawn)
+        const auto next = desired_draw(state_of(customer, drawn),
+                                       undrawn(m_book, customer, prepaid),
+                                       prepaid, m_policy, part);
+        if (next > drawn && !m_lowering.contains(customer))
         {
             drawn = next;
-            changed = true;
+            any = true;
         }
         else if (next < drawn)
             back[customer] = next;
     }
+    return any;
+}
+
+std::optional<escrow_book> escrow_keeper::plan()
+{
+    auto wanted = m_book;
+    token_map_t back;
+    bool changed = adopt(wanted, m_identity.host, m_identity.incarnation,
+                         m_identity.address);
+    changed = give_back(wanted) || changed;
+    changed = draw(wanted, m_policy.low_part, back) || changed;
     if (!changed)
+    {
         ask_to_lower(back);
+        return std::nullopt;
+    }
+    // The call is paid for: others that will soon be low come along.
+    draw(wanted, m_policy.refill_part, back);
+    for (const auto& [customer, prepaid] : m_budgets)
+        wanted.hosts[m_identity.host].used[customer] =
+            state_of(customer, 0).used;
     return wanted;
 }
 
@@ -263,11 +295,10 @@
         co_await refresh();
     if (m_stale || m_revision == 0 || m_budgets.empty())
         co_return failure_pause;
-    bool changed = false;
-    auto wanted = plan(changed);
-    if (!changed)
+    auto wanted = plan();
+    if (!wanted)
         co_return look_pause;
-    switch (co_await write(std::move(wanted)))
+    switch (co_await write(std::move(*wanted)))
     {
     case write_end::done:
         co_return look_pause;
@@ -285,6 +316,7 @@
     while (!m_closing)
     {
         const auto pause = co_await step();
+        m_failing = pause == failure_pause;
         if (pause == milliseconds(0))
             continue;
         m_wake.expires_after(pause);
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -85,7 +85,11 @@
     void take_over(const std::string& body);
     void confirm();
     void tell();
-    escrow_book plan(bool& changed);
+    wallet_state state_of(const std::string& customer,
+                          token_count_t drawn) const;
+    bool give_back(escrow_book& wanted);
+    bool draw(escrow_book& wanted, double part, token_map_t& back) const;
+    std::optional<escrow_book> plan();
     void ask_to_lower(const token_map_t& targets);
     bool adopted() const;
 
@@ -103,6 +107,7 @@
     token_map_t m_lowering;   ///< asked back, not answered yet
     time_point_t m_read_at{}; ///< when the book was last seen
     bool m_exhausted = false; ///< some budget is drawn out
+    bool m_failing = false;   ///< a need isn't met sooner by calling again
     bool m_running = false;
     bool m_closing = false;
     bool m_stale = true; ///< read the book before the next plan
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -71,8 +71,7 @@
                                     const shared_evidence& evidence)
 {
     const auto found = m_moves.find(evidence.service);
-    if (found != m_moves.end() &&
-        found->second.order.target == evidence.target)
+    if (found != m_moves.end() && found->second.order.target == evidence.target)
         found->second.peers[peer] = evidence.routes;
 }
 
@@ -89,9 +88,8 @@
 {
     std::vector<shared_move> all;
     for (const auto& [service, each] : m_moves)
-        all.push_back(
-            {each.order,
-             std::chrono::duration_cast<milliseconds>(now - each.seen)});
+        all.push_back({each.order, std::chrono::duration_cast<milliseconds>(
+                                       now - each.seen)});
     return all;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -94,8 +94,11 @@
         };
         port.crashed = [this](std::uint64_t fingerprint)
         {
-            asio::post(control_loop, [this, fingerprint]
-                       { control.note_crash(fingerprint); });
+            asio::post(control_loop,
+                       [this, fingerprint]
+                       {
+                           control.note_crash(fingerprint);
+                       });
         };
         return port;
     }
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -45,8 +45,7 @@
       m_identity(std::move(identity)),
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
-      m_escrow(loop.get_executor(), m_store, m_identity,
-               listener_for_escrow()),
+      m_escrow(loop.get_executor(), m_store, m_identity, listener_for_escrow()),
       m_moves(loop.get_executor(), m_store),
       m_peers(loop, settings, listener_for_peers())
 {
@@ -55,17 +54,32 @@
 escrow_listener node_control::listener_for_escrow()
 {
     auto made = m_traffic.escrow;
-    made.seen = [this](const escrow_book& book) { take_hosts(book); };
+    made.seen = [this](const escrow_book& book)
+    {
+        take_hosts(book);
+    };
     return made;
 }
 
 peer_listener node_control::listener_for_peers()
 {
     peer_listener made;
-    made.beat = [this] { return make_beat(); };
-    made.state = [this] { return make_state(); };
-    made.heard = [this](const peer_beat& beat) { take_beat(beat); };
-    made.caught_up = [this](const peer_state& state) { take_state(state); };
+    made.beat = [this]
+    {
+        return make_beat();
+    };
+    made.state = [this]
+    {
+        return make_state();
+    };
+    made.heard = [this](const peer_beat& beat)
+    {
+        take_beat(beat);
+    };
+    made.caught_up = [this](const peer_state& state)
+    {
+        take_state(state);
+    };
     return made;
 }
 
@@ -98,11 +112,13 @@
     };
     made.changed = [this](const auto& event)
     {
-        if (!event.removed &&
-            event.object.name == platform::configuration_name)
+        if (!event.removed && event.object.name == platform::configuration_name)
             take_configuration(event.object.spec);
     };
-    made.answered = [this](bool answered) { note_answer(answered); };
+    made.answered = [this](bool answered)
+    {
+        note_answer(answered);
+    };
     return made;
 }
 
@@ -166,7 +182,10 @@
             take(event.object);
         publish();
     };
-    made.answered = [this](bool answered) { note_answer(answered); };
+    made.answered = [this](bool answered)
+    {
+        note_answer(answered);
+    };
     return made;
 }
 
@@ -252,8 +271,8 @@
     for (const auto& each : m_moves.moves(m_answered))
         text.append(each.order.service)
             .append(each.order.target)
-            .append(1, static_cast<char>('0' + static_cast<int>(
-                                                   each.order.state)));
+            .append(
+                1, static_cast<char>('0' + static_cast<int>(each.order.state)));
     return hash64(text);
 }
 
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -5,15 +5,15 @@
 #include <string>  // string
 #include <utility> // move
 
-#include <boost/asio/as_tuple.hpp>           // as_tuple
-#include <boost/asio/buffer.hpp>             // buffer
-#include <boost/asio/steady_timer.hpp>       // steady_timer
-#include <boost/asio/use_awaitable.hpp>      // use_awaitable
-#include <boost/beast/http/empty_body.hpp>   // empty_body
-#include <boost/beast/http/read.hpp>         // async_read
-#include <boost/beast/http/string_body.hpp>  // string_body
-#include <boost/beast/http/write.hpp>        // async_write
-#include <spdlog/spdlog.h>                   // warn
+#include <boost/asio/as_tuple.hpp>          // as_tuple
+#include <boost/asio/buffer.hpp>            // buffer
+#include <boost/asio/steady_timer.hpp>      // steady_timer
+#include <boost/asio/use_awaitable.hpp>     // use_awaitable
+#include <boost/beast/http/empty_body.hpp>  // empty_body
+#include <boost/beast/http/read.hpp>        // async_read
+#include <boost/beast/http/string_body.hpp> // string_body
+#include <boost/beast/http/write.hpp>       // async_write
+#include <spdlog/spdlog.h>                  // warn
 
 #include "../store/http_link.hpp"      // http_link
 #include "../store/socket_options.hpp" // to_endpoint
@@ -72,7 +72,8 @@
     spawn(m_loop, accept_questions(), "questions of peers");
 }
 
-void peer_exchange::set_peers(const std::map<std::string, socket_address>& peers)
+void peer_exchange::set_peers(
+    const std::map<std::string, socket_address>& peers)
 {
     m_peers = peers;
     m_peers.erase(m_settings.host);
@@ -95,8 +96,7 @@
                 continue;
             boost::system::error_code ignored; // beats may be lost
             m_socket.send_to(asio::buffer(bytes),
-                             {to->address(), m_settings.peer_port}, 0,
-                             ignored);
+                             {to->address(), m_settings.peer_port}, 0, ignored);
         }
     }
 }
@@ -132,8 +132,8 @@
 {
     const auto link =
         std::make_shared<http_link>(m_loop.get_executor(), address);
-    const auto answer = co_await link->call(http::verb::get, "/state", {},
-                                            question_timeout);
+    const auto answer =
+        co_await link->call(http::verb::get, "/state", {}, question_timeout);
     m_asking = false;
     if (!answer.is(200))
         co_return;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -41,6 +41,10 @@
     const auto link = take();
     auto found =
         co_await link->call(verb, std::move(target), std::move(body), timeout);
+    // Where one connection has gone silent, those that lie idle since before
+    // have too: each would cost a time-out more.
+    if (found.end != call_end::answered)
+        m_idle.clear();
     if (link->open() && m_idle.size() < most_idle)
         m_idle.push_back(link);
     co_return found;
--- /dev/null
+++ b/tests/unit/unit-fleet.cpp
@@ -0,0 +1,258 @@
+// Configuration look-up, the host list over outages of the store, retries and
+// the choice of an endpoint.
+
+#include <chrono> // seconds
+#include <string> // string
+#include <vector> // vector
+
+#include <catch2/catch.hpp>
+
+#include <rhubarbgrade/detail/fleet/deployment.hpp>     // find_route
+#include <rhubarbgrade/detail/fleet/endpoint_book.hpp>  // endpoint_book
+#include <rhubarbgrade/detail/moves/trial.hpp>          // decide_trial
+#include <rhubarbgrade/detail/placing/place.hpp>        // place
+#include <rhubarbgrade/detail/routing/repeat.hpp>       // may_repeat
+#include <rhubarbgrade/detail/routing/shared_retry.hpp> // take_retry
+
+using namespace rhubarbgrade;
+using std::chrono::seconds;
+
+namespace
+{
+
+const time_point_t start = time_point_t{} + seconds(1000);
+
+endpoint_entry entry_of(const std::string& id)
+{
+    endpoint_entry entry;
+    entry.id = id;
+    entry.service = "registry";
+    entry.version = "v1";
+    return entry;
+}
+
+route route_of(const std::string& prefix)
+{
+    route made;
+    made.host = "a.example";
+    made.path_prefix = prefix;
+    made.services.push_back({"registry", 1});
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix that begins the path wins", "[fleet]")
+{
+    deployment configuration;
+    configuration.routes = {route_of("/"), route_of("/a/"), route_of("/a/b/")};
+    build_indexes(configuration);
+    const auto prefix_of = [&](std::string_view path)
+    {
+        const auto* found = find_route(configuration, "a.example", path);
+        return found == nullptr ? "none" : found->path_prefix;
+    };
+    CHECK(prefix_of("/a/b/c") == "/a/b/");
+    CHECK(prefix_of("/a/b") == "/a/");
+    CHECK(prefix_of("/ab/") == "/");
+    CHECK(prefix_of("/a/bc/d") == "/a/");
+    CHECK(find_route(configuration, "b.example", "/a/") == nullptr);
+    CHECK(find_route(configuration, "a.example", "") == nullptr);
+}
+
+TEST_CASE("an entry that lapses in an outage is held until it may be back",
+          "[fleet]")
+{
+    endpoint_book book;
+    note_store(book, true, start);
+    put_endpoint(book, entry_of("e1"), start);
+    put_endpoint(book, entry_of("e2"), start);
+    const auto outage = start + seconds(10);
+    note_store(book, false, outage);
+    const auto back = outage + seconds(6);
+    note_store(book, true, back);
+    remove_endpoint(book, "e1", back);
+    CHECK(usable_endpoints(book, back + milliseconds(500)).size() == 2);
+    SECTION("it comes back")
+    {
+        put_endpoint(book, entry_of("e1"), back + milliseconds(900));
+        CHECK(usable_endpoints(book, back + seconds(5)).size() == 2);
+    }
+    SECTION("it is gone")
+    {
+        CHECK(usable_endpoints(book, back + lapse_grace).size() == 1);
+    }
+}
+
+TEST_CASE("a removal in calm times takes effect at once", "[fleet]")
+{
+    endpoint_book book;
+    note_store(book, true, start);
+    put_endpoint(book, entry_of("e1"), start);
+    remove_endpoint(book, "e1", start + seconds(20));
+    CHECK(usable_endpoints(book, start + seconds(20)).empty());
+}
+
+TEST_CASE("a leaving endpoint gets nothing, outage or not", "[fleet]")
+{
+    endpoint_book book;
+    note_store(book, true, start);
+    auto entry = entry_of("e1");
+    entry.leaving = true;
+    put_endpoint(book, entry, start);
+    note_store(book, false, start);
+    remove_endpoint(book, "e1", start);
+    CHECK(usable_endpoints(book, start).empty());
+}
+
+TEST_CASE("what may not be repeated is sent again only if nothing ran",
+          "[repeat]")
+{
+    repeat_question question;
+    question.kind = call_kind::non_idempotent;
+    question.sends = 1;
+    question.runs = 1;
+    question.max_runs = 3;
+    question.left = milliseconds(1000);
+    question.end = attempt_end::may_have_run;
+    CHECK(may_repeat(question) == repeat_answer::never);
+    question.end = attempt_end::failed;
+    CHECK(may_repeat(question) == repeat_answer::never);
+    question.end = attempt_end::refused;
+    CHECK(may_repeat(question) == repeat_answer::budgeted);
+    question.end = attempt_end::not_sent;
+    CHECK(may_repeat(question) == repeat_answer::free);
+    question.left = milliseconds(1);
+    CHECK(may_repeat(question) == repeat_answer::never);
+}
+
+TEST_CASE("a stream goes on elsewhere only where its route allows it",
+          "[repeat]")
+{
+    repeat_question question;
+    question.kind = call_kind::stream;
+    question.sends = 1;
+    question.runs = 1;
+    question.max_runs = 2;
+    question.answer_begun = true;
+    question.left = milliseconds(1000);
+    CHECK(may_repeat(question) == repeat_answer::never);
+    question.resumable = true;
+    CHECK(may_repeat(question) == repeat_answer::budgeted);
+    question.runs = 2;
+    CHECK(may_repeat(question) == repeat_answer::never);
+}
+
+TEST_CASE("hosts together stay within the retry limit in any window",
+          "[repeat]")
+{
+    shared_retry_limit limit;
+    limit.ratio = 0.2;
+    limit.slack = 54;
+    limit.hosts = 7;
+    std::vector<retry_counts> hosts(limit.hosts);
+    int retries = 0;
+    const int requests = 700;
+    for (int i = 0; i < requests; ++i)
+    {
+        auto& counts = hosts[static_cast<std::size_t>(i) % hosts.size()];
+        const auto now = start + milliseconds(i * 10);
+        note_first(counts, limit, now);
+        retries += take_retry(counts, limit, now) ? 1 : 0;
+        retries += take_retry(counts, limit, now) ? 1 : 0;
+    }
+    CHECK(retries <= limit.ratio * requests + limit.slack);
+    CHECK(retries > 0);
+}
+
+TEST_CASE("prompts go where their shared parts are read, unless it is full",
+          "[placing]")
+{
+    std::uint64_t next = 1;
+    const random_source_t random = [&]
+    {
+        return next += 7;
+    };
+    std::vector<placing_candidate> candidates(8);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        candidates[i].identity = 1000 + i;
+        candidates[i].limit = 4;
+        candidates[i].same_zone = true;
+    }
+    const placing_request request{77, 6000};
+    const auto home = place(candidates, request, {}, random);
+    REQUIRE(home);
+    for (int i = 0; i < 20; ++i)
+        candidates[*home].kept_tokens = 5000;
+    for (int i = 0; i < 20; ++i)
+        CHECK(place(candidates, request, {}, random) == home);
+    candidates[*home].in_flight = candidates[*home].limit;
+    const auto other = place(candidates, request, {}, random);
+    REQUIRE(other);
+    CHECK(*other != *home);
+    for (auto& each : candidates)
+        each.usable = false;
+    CHECK_FALSE(place(candidates, request, {}, random));
+}
+
+TEST_CASE("endpoints that fail are avoided", "[placing]")
+{
+    std::uint64_t next = 1;
+    const random_source_t random = [&]
+    {
+        return next += 7;
+    };
+    std::vector<placing_candidate> candidates(3);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].limit = 4;
+    candidates[1].failure_rate = 0.5;
+    for (int i = 0; i < 30; ++i)
+        CHECK(place(candidates, {0, 0}, {}, random) != std::size_t{1});
+}
+
+TEST_CASE("a version on trial gets a small share until the limit is near",
+          "[moves]")
+{
+    const trial_policy policy;
+    const auto limit = seconds(12);
+    const auto early = decide_trial({}, seconds(2), limit, policy);
+    CHECK(early.state == order_state::running);
+    CHECK(early.target_share == policy.first_share);
+    move_evidence_t some;
+    for (int i = 0; i < 30; ++i)
+        add_sample(some["calm"], true, true, 0.1);
+    CHECK(decide_trial(some, seconds(2), limit, policy).target_share ==
+          policy.share);
+    const auto late =
+        decide_trial({}, limit - milliseconds(600), limit, policy);
+    CHECK(late.state == order_state::running);
+    CHECK(late.target_share == 1);
+    const auto end = decide_trial({}, limit - milliseconds(100), limit, policy);
+    CHECK(end.state == order_state::succeeded);
+}
+
+TEST_CASE("a version that fails or is slow on one route is taken back",
+          "[moves]")
+{
+    move_evidence_t evidence;
+    for (int i = 0; i < 300; ++i)
+    {
+        add_sample(evidence["calm"], false, i % 10 != 0, 0.1);
+        add_sample(evidence["other"], false, true, 0.1);
+    }
+    SECTION("it fails")
+    {
+        for (int i = 0; i < 16; ++i)
+            add_sample(evidence["calm"], true, i % 2 == 0, 0.1);
+    }
+    SECTION("it is slow")
+    {
+        for (int i = 0; i < 16; ++i)
+            add_sample(evidence["other"], true, true, 0.4 + 0.01 * i);
+    }
+    const auto step = decide_trial(evidence, seconds(4), seconds(12), {});
+    CHECK(step.state == order_state::reverted);
+    CHECK(step.target_share == 0);
+    CHECK_FALSE(step.reason.empty());
+}
