A holding asked back isn't handed out again; lapses only when many vanish

Ruled out: a watch that hangs (all hosts had logged the change within 90 ms). Change: news leave out what is being lowered; wallets freeze before the last write; entries are held only if a third of a service vanishes together, and from the store's return on. Tests: unit-wallet, unit-fleet.

--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -1,5 +1,7 @@
 #include <rhubarbgrade/detail/fleet/endpoint_book.hpp>
 
+#include <cstddef>     // size_t
+#include <map>         // map
 #include <set>         // set
 #include <string>      // string
 #include <string_view> // string_view
@@ -13,13 +15,36 @@
 
 /// A removal this soon after the store's return, or while it was away, may be
 /// a lapse: the endpoint could not write its heartbeat.
-constexpr milliseconds lapse_window{3000};
+constexpr milliseconds lapse_window{1000};
+
+/// Part of a service's endpoints that must vanish together to look like a
+/// lapse. Fewer are taken to be gone: the outage may have been this host's
+/// alone, and a leaving endpoint must get nothing.
+constexpr std::size_t lapse_part = 3;
 
 bool may_be_lapse(const endpoint_book& book, time_point_t now)
 {
     return !book.reachable || now - book.back_since < lapse_window;
 }
 
+struct service_count
+{
+    std::size_t lapsed = 0;
+    std::size_t known = 0;
+};
+
+std::map<std::string_view, service_count> count(const endpoint_book& book)
+{
+    std::map<std::string_view, service_count> counts;
+    for (const auto& [id, known] : book.endpoints)
+    {
+        auto& mine = counts[known.entry.service];
+        ++mine.known;
+        mine.lapsed += known.lapsed ? 1 : 0;
+    }
+    return counts;
+}
+
 } // namespace
 
 void note_store(endpoint_book& book, bool answered, time_point_t now)
@@ -71,13 +96,15 @@
 std::vector<endpoint_entry> usable_endpoints(endpoint_book& book,
                                              time_point_t now)
 {
+    const auto counts = count(book);
     std::vector<endpoint_entry> usable;
     for (auto it = book.endpoints.begin(); it != book.endpoints.end();)
     {
         const auto& known = it->second;
-        const auto held_from = std::max(known.gone_at, book.back_since);
+        const auto& together = counts.at(known.entry.service);
         const bool held =
-            known.lapsed && (!book.reachable || now - held_from < lapse_grace);
+            known.lapsed && together.lapsed * lapse_part > together.known &&
+            (!book.reachable || now - book.back_since < lapse_grace);
         if (known.gone && !held)
         {
             it = book.endpoints.erase(it);
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -215,6 +215,7 @@
         timer.expires_after(look);
         co_await timer.async_wait(as_values);
     }
+    m_context.wallets.freeze();
     done(m_context.wallets.states(time_point_t::clock::now()));
 }
 
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -85,6 +85,8 @@
 
 void wallet_table::update(const budget_news_t& news)
 {
+    if (m_frozen)
+        return;
     for (const auto& [customer, each] : news)
     {
         auto& mine = wallet_of(customer);
@@ -108,6 +110,13 @@
     return held;
 }
 
+void wallet_table::freeze()
+{
+    m_frozen = true;
+    for (auto& [customer, mine] : m_wallets)
+        mine.state.drawn = mine.state.reserved + mine.state.used;
+}
+
 wallet_states_t wallet_table::states(time_point_t now)
 {
     wallet_states_t all;
--- a/src/gateway/wallet_table.hpp
+++ b/src/gateway/wallet_table.hpp
@@ -59,6 +59,10 @@
     /// @return what this host still holds of each
     token_map_t lower(const token_map_t& holdings);
 
+    /// @brief Ends the spending of this process: nothing beyond what is
+    ///        reserved may be used from now on.
+    void freeze();
+
     /// @brief The present state of all wallets, with rates brought up to now.
     wallet_states_t states(time_point_t now);
 
@@ -77,6 +81,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::function<void()> m_wanted;
+    bool m_frozen = false;
     std::map<std::string, wallet, std::less<>> m_wallets;
 };
 
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -82,7 +82,8 @@
         m_usable[customer] = std::min(value_of(m_usable, customer), tokens);
         m_lowering.erase(customer);
     }
-    m_wake.cancel();
+    if (!m_failing)
+        m_wake.cancel();
 }
 
 bool escrow_keeper::adopted() const
@@ -100,6 +101,10 @@
     {
         const auto left = undrawn(m_book, customer, prepaid);
         m_exhausted = m_exhausted || left == 0;
+        // The traffic thread may have lowered this one already; the older,
+        // higher holding must not reach it again.
+        if (m_lowering.contains(customer))
+            continue;
         news[customer] = {value_of(m_usable, customer), left,
                           known_used(m_book, customer), prepaid};
     }
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -143,8 +143,11 @@
     made.changed = [this](const auto& event)
     {
         if (event.removed)
+        {
             remove_endpoint(m_endpoints, event.object.name,
                             time_point_t::clock::now());
+            spdlog::info("endpoint {} is removed", event.object.name);
+        }
         else
             take_endpoint(event.object);
         publish();
@@ -228,7 +231,12 @@
 {
     const auto entry = platform::decode_endpoint(object);
     if (entry)
+    {
         put_endpoint(m_endpoints, *entry, time_point_t::clock::now());
+        if (entry->leaving)
+            spdlog::info("endpoint {} is leaving, revision {}", entry->id,
+                         object.revision);
+    }
     else
     {
         spdlog::warn("skipped: {}", entry.error().message());
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -84,6 +84,20 @@
     }
 }
 
+TEST_CASE("one entry of many that is removed around an outage is gone",
+          "[fleet]")
+{
+    endpoint_book book;
+    note_store(book, true, start);
+    for (const auto* id : {"e1", "e2", "e3", "e4"})
+        put_endpoint(book, entry_of(id), start);
+    note_store(book, false, start + seconds(10));
+    const auto back = start + seconds(16);
+    note_store(book, true, back);
+    remove_endpoint(book, "e1", back);
+    CHECK(usable_endpoints(book, back).size() == 3);
+}
+
 TEST_CASE("a removal in calm times takes effect at once", "[fleet]")
 {
     endpoint_book book;
