Holdings sized by what all hosts use; the book read again every 2 s

Cause: a host took its own rate times the number of hosts for the fleet's, so that busy hosts held too little when the store was cut off; idle hosts kept a part of each budget to its end. Change: the fleet's rate from the book's reported use; stale-tolerant reads.

--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -55,6 +55,7 @@
     token_count_t waiting = 0;  ///< bound of requests that wait for tokens
     token_count_t largest = 0;  ///< largest bound of a request seen lately
     double rate = 0;            ///< tokens used a second
+    double fleet_rate = 0;      ///< by all hosts; 0 if not known
 };
 
 /// @brief How far ahead hosts draw.
@@ -62,9 +63,9 @@
 {
     double most_s = 10;        ///< never hold more than this much use
     double least_s = 3;        ///< nor less, while there is any
-    double share_left = 0.3;   ///< of what is left, what all hosts may hold
-    double low_part = 0.5;     ///< of the target, under which a draw is due
-    double refill_part = 0.8;  ///< under which a draw that is made anyway
+    double share_left = 0.35;  ///< of what is left, what all hosts may hold
+    double low_part = 0.65;    ///< of the target, under which a draw is due
+    double refill_part = 0.85; ///< under which a draw that is made anyway
                                ///< takes this customer along
     double high_part = 2.2;    ///< of the target, over which tokens go back
     double first_share = 0.05; ///< of the budget, over all hosts, at the start
--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -66,7 +66,11 @@
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy)
 {
-    const auto fleet_rate = state.rate * static_cast<double>(policy.hosts);
+    const auto fleet_rate =
+        std::max(state.fleet_rate > 0
+                     ? state.fleet_rate
+                     : state.rate * static_cast<double>(policy.hosts),
+                 state.rate);
     if (fleet_rate <= 0)
         return policy.most_s;
     return std::clamp(policy.share_left * static_cast<double>(left) /
@@ -80,8 +84,9 @@
 {
     const auto in_use = state.reserved + state.used;
     const auto free = over(state.drawn, in_use);
+    // Of a nearly spent budget, idle hosts hold little.
     const auto first = static_cast<token_count_t>(
-        static_cast<double>(prepaid) * policy.first_share /
+        static_cast<double>(std::min(prepaid, left)) * policy.first_share /
         static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
     const auto floor = std::max(first, 2 * state.largest);
     const auto target = std::max(
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -1,6 +1,7 @@
 #include "escrow_keeper.hpp"
 
 #include <algorithm> // min
+#include <chrono>    // duration
 #include <string>    // string
 #include <utility>   // move
 
@@ -35,9 +36,14 @@
 /// Pause after a failed call.
 constexpr milliseconds failure_pause{150};
 
-/// Age at which the book is read again while a budget is drawn out: another
-/// host may have given some back.
-constexpr milliseconds exhausted_pause{2000};
+/// Age at which the book is read again, by a cheap call that may be answered
+/// from an older state: what is left of each budget sizes the holdings.
+constexpr milliseconds book_age{2000};
+
+/// Shortest span over which the use of all hosts is measured, and the weight
+/// of a new measurement; hosts report their use every few seconds.
+constexpr std::chrono::duration<double> rate_span{2.0};
+constexpr double rate_weight = 0.4;
 
 token_count_t value_of(const token_map_t& tokens, std::string_view customer)
 {
@@ -96,11 +102,9 @@
 void escrow_keeper::tell()
 {
     budget_news_t news;
-    m_exhausted = false;
     for (const auto& [customer, prepaid] : m_budgets)
     {
         const auto left = undrawn(m_book, customer, prepaid);
-        m_exhausted = m_exhausted || left == 0;
         // The traffic thread may have lowered this one already; the older,
         // higher holding must not reach it again.
         if (m_lowering.contains(customer))
@@ -160,6 +164,7 @@
     m_read_at = time_point_t::clock::now();
     m_policy.hosts = m_book.hosts.size();
     m_listener.seen(m_book);
+    note_rates();
     confirm();
     tell();
 }
@@ -173,19 +178,41 @@
                           call_timeout);
 }
 
-asio::awaitable<void> escrow_keeper::refresh()
+asio::awaitable<void> escrow_keeper::refresh(bool stale_allowed)
 {
     const auto answer = co_await m_store.call(
         call_purpose::budget, verb::get,
-        platform::object_target(book_kind, book_name), {}, call_timeout);
+        platform::object_target(book_kind, book_name, stale_allowed), {},
+        call_timeout);
+    m_read_at = time_point_t::clock::now();
     if (answer.is(200))
         take_over(answer.body);
-    else if (answer.is(404))
+    else if (answer.is(404) && !stale_allowed)
         co_await create();
     else
         spdlog::warn("escrow not read: status {}", answer.status);
 }
 
+void escrow_keeper::note_rates()
+{
+    const auto now = time_point_t::clock::now();
+    for (const auto& [customer, prepaid] : m_budgets)
+    {
+        auto& fleet = m_fleet[customer];
+        const auto used = known_used(m_book, customer);
+        const std::chrono::duration<double> passed = now - fleet.at;
+        if (passed < rate_span)
+            continue;
+        if (fleet.at != time_point_t{} && used >= fleet.used)
+            fleet.rate += rate_weight *
+                          (static_cast<double>(used - fleet.used) /
+                               passed.count() -
+                           fleet.rate);
+        fleet.used = used;
+        fleet.at = now;
+    }
+}
+
 asio::awaitable<escrow_keeper::write_end>
 escrow_keeper::write(escrow_book wanted)
 {
@@ -229,6 +256,8 @@
     if (const auto found = m_states.find(customer); found != m_states.end())
         state = found->second;
     state.drawn = drawn;
+    if (const auto fleet = m_fleet.find(customer); fleet != m_fleet.end())
+        state.fleet_rate = fleet->second.rate;
     return state;
 }
 
@@ -293,11 +322,10 @@
 
 asio::awaitable<milliseconds> escrow_keeper::step()
 {
-    const auto now = time_point_t::clock::now();
-    if (m_exhausted && now - m_read_at > exhausted_pause)
-        m_stale = true;
     if (m_stale || m_revision == 0)
-        co_await refresh();
+        co_await refresh(false);
+    else if (time_point_t::clock::now() - m_read_at > book_age)
+        co_await refresh(true);
     if (m_stale || m_revision == 0 || m_budgets.empty())
         co_return failure_pause;
     auto wanted = plan();
@@ -344,7 +372,7 @@
     for (int i = 0; i < tries && adopted(); ++i)
     {
         if (m_stale)
-            co_await refresh();
+            co_await refresh(false);
         auto wanted = m_book;
         auto& mine = wanted.hosts[m_identity.host];
         for (const auto& [customer, state] : last)
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>    // uint64_t
 #include <functional> // function
+#include <map>        // map
 #include <optional>   // optional
 #include <string>     // string
 
@@ -78,7 +79,8 @@
         token_map_t drawn;
     };
 
-    boost::asio::awaitable<void> refresh();
+    boost::asio::awaitable<void> refresh(bool stale_allowed);
+    void note_rates();
     boost::asio::awaitable<write_end> write(escrow_book wanted);
     boost::asio::awaitable<milliseconds> step();
     boost::asio::awaitable<void> create();
@@ -106,7 +108,15 @@
     token_map_t m_usable;     ///< what the traffic thread may use
     token_map_t m_lowering;   ///< asked back, not answered yet
     time_point_t m_read_at{}; ///< when the book was last seen
-    bool m_exhausted = false; ///< some budget is drawn out
+
+    struct fleet_use
+    {
+        token_count_t used = 0;
+        time_point_t at{};
+        double rate = 0;
+    };
+
+    std::map<std::string, fleet_use, std::less<>> m_fleet;
     bool m_failing = false;   ///< a need isn't met sooner by calling again
     bool m_running = false;
     bool m_closing = false;
