Two draws in one write no longer take the same tokens twice

Ruled out: the charge for a request (all whole streams charged as delivered), lowered holdings, late writes; the hosts' own sums exceeded the budget. Change: draws are a pure function on the account as it is to be written; the property test plays it as the keeper does, with both passes.

--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -58,12 +58,15 @@
     double fleet_rate = 0;      ///< by all hosts; 0 if not known
 };
 
+/// @brief What a host has and uses, by customer.
+using wallet_states_t = std::map<std::string, wallet_state, std::less<>>;
+
 /// @brief How far ahead hosts draw.
 struct escrow_policy
 {
-    double most_s = 10;        ///< never hold more than this much use
+    double most_s = 6;         ///< never hold more than this much use
     double least_s = 3;        ///< nor less, while there is any
-    double share_left = 0.35;  ///< of what is left, what all hosts may hold
+    double share_left = 0.25;  ///< of what is left, what all hosts may hold
     double low_part = 0.65;    ///< of the target, under which a draw is due
     double refill_part = 0.85; ///< under which a draw that is made anyway
                                ///< takes this customer along
@@ -89,6 +92,20 @@
                            token_count_t prepaid, const escrow_policy& policy,
                            double part);
 
+/// @brief Draws for all customers of a host whose holding is low.
+/// @param[in,out] book  the account as it is to be written; what a draw takes
+///                      is no longer left for the next one
+/// @param[in] budgets   prepaid tokens by customer
+/// @param[in] states    the host's side; what it holds is taken from the book
+/// @param[in] part      of the target under which to draw
+/// @param[in] skipped   customers whose holding is being given back
+/// @param[out] back     holdings that are too large, with the right size
+/// @return whether anything was drawn
+bool draw_tokens(escrow_book& book, std::string_view host,
+                 const token_map_t& budgets, const wallet_states_t& states,
+                 const escrow_policy& policy, double part,
+                 const token_map_t& skipped, token_map_t& back);
+
 /// @brief Whether a request can't fit into a budget, whoever holds the rest.
 bool certainly_exhausted(const escrow_book& book, std::string_view customer,
                          token_count_t prepaid, token_count_t bound);
--- a/include/rhubarbgrade/detail/placing/place.hpp
+++ b/include/rhubarbgrade/detail/placing/place.hpp
@@ -31,6 +31,7 @@
 {
     std::uint64_t affinity = 0; ///< hash of the parts it shares; 0 for none
     token_count_t prompt_tokens = 0;
+    token_count_t shared_tokens = 0; ///< of the parts that others share
 };
 
 /// @brief Costs of a choice, in milliseconds that a caller may wait.
--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -66,11 +66,10 @@
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy)
 {
-    const auto fleet_rate =
-        std::max(state.fleet_rate > 0
-                     ? state.fleet_rate
-                     : state.rate * static_cast<double>(policy.hosts),
-                 state.rate);
+    const auto fleet_rate = std::max(
+        state.fleet_rate > 0 ? state.fleet_rate
+                             : state.rate * static_cast<double>(policy.hosts),
+        state.rate);
     if (fleet_rate <= 0)
         return policy.most_s;
     return std::clamp(policy.share_left * static_cast<double>(left) /
@@ -106,6 +105,32 @@
     return state.drawn;
 }
 
+bool draw_tokens(escrow_book& book, std::string_view host,
+                 const token_map_t& budgets, const wallet_states_t& states,
+                 const escrow_policy& policy, double part,
+                 const token_map_t& skipped, token_map_t& back)
+{
+    bool any = false;
+    auto& mine = book.hosts[std::string(host)];
+    for (const auto& [customer, prepaid] : budgets)
+    {
+        wallet_state state;
+        if (const auto known = states.find(customer); known != states.end())
+            state = known->second;
+        state.drawn = value_of(mine.drawn, customer);
+        const auto next = desired_draw(state, undrawn(book, customer, prepaid),
+                                       prepaid, policy, part);
+        if (next > state.drawn && !skipped.contains(customer))
+        {
+            mine.drawn[customer] = next;
+            any = true;
+        }
+        else if (next < state.drawn)
+            back[customer] = next;
+    }
+    return any;
+}
+
 bool certainly_exhausted(const escrow_book& book, std::string_view customer,
                          token_count_t prepaid, token_count_t bound)
 {
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -62,6 +62,14 @@
     return parts.size() > 1 ? parts[parts.size() - 2].id : parts[0].id;
 }
 
+token_count_t shared_tokens(std::span<const platform::prompt_part> parts)
+{
+    token_count_t shared = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        shared += parts[i].tokens;
+    return shared;
+}
+
 token_count_t kept_tokens(const pool_endpoint& endpoint,
                           std::span<const platform::prompt_part> parts,
                           time_point_t now)
@@ -191,9 +199,10 @@
     }
     placing_costs costs;
     costs.hosts = static_cast<double>(m_view->hosts);
-    const auto index =
-        place(candidates, {affinity_of(wish.parts), wish.prompt_tokens}, costs,
-              m_random);
+    const auto index = place(candidates,
+                             {affinity_of(wish.parts), wish.prompt_tokens,
+                              shared_tokens(wish.parts)},
+                             costs, m_random);
     return index ? pool[*index] : nullptr;
 }
 
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -18,7 +18,7 @@
 
 /// Time constant of the mean rate of use, seconds: bursts of a customer last
 /// some seconds.
-constexpr double rate_memory_s = 2;
+constexpr double rate_memory_s = 4;
 
 bool fits(const wallet_state& state, token_count_t bound)
 {
--- a/src/gateway/wallet_table.hpp
+++ b/src/gateway/wallet_table.hpp
@@ -25,7 +25,6 @@
 };
 
 using budget_news_t = std::map<std::string, budget_news, std::less<>>;
-using wallet_states_t = std::map<std::string, wallet_state, std::less<>>;
 
 /// @brief How a wish for tokens ended.
 enum class reserve_end
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -204,10 +204,10 @@
         if (passed < rate_span)
             continue;
         if (fleet.at != time_point_t{} && used >= fleet.used)
-            fleet.rate += rate_weight *
-                          (static_cast<double>(used - fleet.used) /
-                               passed.count() -
-                           fleet.rate);
+            fleet.rate +=
+                rate_weight *
+                (static_cast<double>(used - fleet.used) / passed.count() -
+                 fleet.rate);
         fleet.used = used;
         fleet.at = now;
     }
@@ -249,16 +249,12 @@
         m_listener.lower(std::move(asked));
 }
 
-wallet_state escrow_keeper::state_of(const std::string& customer,
-                                     token_count_t drawn) const
+wallet_states_t escrow_keeper::states() const
 {
-    wallet_state state;
-    if (const auto found = m_states.find(customer); found != m_states.end())
-        state = found->second;
-    state.drawn = drawn;
-    if (const auto fleet = m_fleet.find(customer); fleet != m_fleet.end())
-        state.fleet_rate = fleet->second.rate;
-    return state;
+    auto states = m_states;
+    for (const auto& [customer, fleet] : m_fleet)
+        states[customer].fleet_rate = fleet.rate;
+    return states;
 }
 
 bool escrow_keeper::give_back(escrow_book& wanted)
@@ -277,46 +273,30 @@
     return any;
 }
 
-bool escrow_keeper::draw(escrow_book& wanted, double part,
-                         token_map_t& back) const
-{
-    bool any = false;
-    auto& mine = wanted.hosts[m_identity.host];
-    for (const auto& [customer, prepaid] : m_budgets)
-    {
-        auto& drawn = mine.drawn[customer];
-        const auto next = desired_draw(state_of(customer, drawn),
-                                       undrawn(m_book, customer, prepaid),
-                                       prepaid, m_policy, part);
-        if (next > drawn && !m_lowering.contains(customer))
-        {
-            drawn = next;
-            any = true;
-        }
-        else if (next < drawn)
-            back[customer] = next;
-    }
-    return any;
-}
-
 std::optional<escrow_book> escrow_keeper::plan()
 {
     auto wanted = m_book;
+    const auto now = states();
+    const auto draw = [&](double part, token_map_t& back)
+    {
+        return draw_tokens(wanted, m_identity.host, m_budgets, now, m_policy,
+                           part, m_lowering, back);
+    };
     token_map_t back;
     bool changed = adopt(wanted, m_identity.host, m_identity.incarnation,
                          m_identity.address);
     changed = give_back(wanted) || changed;
-    changed = draw(wanted, m_policy.low_part, back) || changed;
+    changed = draw(m_policy.low_part, back) || changed;
     if (!changed)
     {
         ask_to_lower(back);
         return std::nullopt;
     }
     // The call is paid for: others that will soon be low come along.
-    draw(wanted, m_policy.refill_part, back);
-    for (const auto& [customer, prepaid] : m_budgets)
-        wanted.hosts[m_identity.host].used[customer] =
-            state_of(customer, 0).used;
+    draw(m_policy.refill_part, back);
+    auto& mine = wanted.hosts[m_identity.host];
+    for (const auto& [customer, state] : now)
+        mine.used[customer] = state.used;
     return wanted;
 }
 
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -87,10 +87,8 @@
     void take_over(const std::string& body);
     void confirm();
     void tell();
-    wallet_state state_of(const std::string& customer,
-                          token_count_t drawn) const;
+    wallet_states_t states() const;
     bool give_back(escrow_book& wanted);
-    bool draw(escrow_book& wanted, double part, token_map_t& back) const;
     std::optional<escrow_book> plan();
     void ask_to_lower(const token_map_t& targets);
     bool adopted() const;
@@ -117,7 +115,7 @@
     };
 
     std::map<std::string, fleet_use, std::less<>> m_fleet;
-    bool m_failing = false;   ///< a need isn't met sooner by calling again
+    bool m_failing = false; ///< a need isn't met sooner by calling again
     bool m_running = false;
     bool m_closing = false;
     bool m_stale = true; ///< read the book before the next plan
--- a/src/placing/place.cpp
+++ b/src/placing/place.cpp
@@ -34,10 +34,15 @@
 }
 
 double cost_of(const placing_candidate& candidate,
-               const placing_request& request, const placing_costs& costs)
+               const placing_request& request, const placing_costs& costs,
+               bool home)
 {
-    const auto unread = request.prompt_tokens -
-                        std::min(request.prompt_tokens, candidate.kept_tokens);
+    // At the first home the other hosts have had the shared parts read too.
+    const auto kept =
+        home ? std::max(candidate.kept_tokens, request.shared_tokens)
+             : candidate.kept_tokens;
+    const auto unread =
+        request.prompt_tokens - std::min(request.prompt_tokens, kept);
     const auto ahead =
         static_cast<double>(candidate.prompt_tokens_waiting) * costs.hosts;
     const auto used = static_cast<double>(candidate.in_flight) /
@@ -89,10 +94,10 @@
     for (std::size_t i = fixed; i < wanted; ++i)
         std::swap(open[i], open[i + random() % (open.size() - i)]);
     std::size_t best = open[0];
-    double least = cost_of(candidates[best], request, costs);
+    double least = cost_of(candidates[best], request, costs, fixed > 0);
     for (std::size_t i = 1; i < wanted; ++i)
     {
-        const auto cost = cost_of(candidates[open[i]], request, costs);
+        const auto cost = cost_of(candidates[open[i]], request, costs, false);
         if (cost < least)
         {
             least = cost;
--- a/tests/unit/unit-escrow.cpp
+++ b/tests/unit/unit-escrow.cpp
@@ -79,14 +79,12 @@
     auto wanted = host.book;
     adopt(wanted, host.name, host.incarnation(), "10.0.0.1:1");
     auto& mine = wanted.hosts[host.name];
-    const auto left = undrawn(host.book, payer_name, prepaid);
     escrow_policy policy;
     policy.hosts = 3;
-    auto state = host.wallet;
-    state.drawn = mine.drawn[payer_name];
-    const auto next =
-        desired_draw(state, left, prepaid, policy, policy.low_part);
-    mine.drawn[payer_name] = std::max(next, state.drawn);
+    token_map_t back;
+    for (const auto part : {policy.low_part, policy.refill_part})
+        draw_tokens(wanted, host.name, {{payer_name, prepaid}},
+                    {{payer_name, host.wallet}}, policy, part, {}, back);
     mine.used[payer_name] = host.wallet.used;
     if (fate == 1) // lost before the store
         return;
@@ -213,6 +211,22 @@
     CHECK(next >= state.used + state.reserved);
 }
 
+TEST_CASE("two draws in one write take no more than is left", "[escrow]")
+{
+    escrow_book book;
+    adopt(book, "a", "a.1", "10.0.0.1:1");
+    book.hosts["b"].drawn[payer_name] = 7000;
+    wallet_state state;
+    state.rate = 100000;
+    state.waiting = 2000;
+    const escrow_policy policy;
+    token_map_t back;
+    for (int i = 0; i < 5; ++i)
+        draw_tokens(book, "a", {{payer_name, prepaid}}, {{payer_name, state}},
+                    policy, policy.refill_part, {}, back);
+    CHECK(book.hosts["a"].drawn[payer_name] <= 3000);
+}
+
 TEST_CASE("a draw takes no more than is left", "[escrow]")
 {
     wallet_state state;
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -194,7 +194,7 @@
         candidates[i].limit = 4;
         candidates[i].same_zone = true;
     }
-    const placing_request request{77, 6000};
+    const placing_request request{77, 6000, 5000};
     const auto home = place(candidates, request, {}, random);
     REQUIRE(home);
     for (int i = 0; i < 20; ++i)
