Stand-ins of the platform's store and endpoints, hosts tested as real processes

Change: standin_store (pages, watches, conditional writes, compaction, refused, silent, lost and late answers), standin_replica, integration-node with nine cases; peers bind one port of the host's own for datagrams and questions, also one of the kernel's, and no control address is needed.

--- a/include/rhubarbgrade/detail/fleet/node_settings.hpp
+++ b/include/rhubarbgrade/detail/fleet/node_settings.hpp
@@ -3,7 +3,6 @@
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t
 #include <string>  // string
-#include <vector>  // vector
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds
 
@@ -41,9 +40,7 @@
     std::string zone;
     socket_address callers;   ///< where callers connect
     socket_address readiness; ///< where the balancer asks
-    socket_address control;   ///< where peers ask for state
-    std::uint16_t peer_port = 0;
-    std::vector<socket_address> seeds;
+    socket_address peers;     ///< where peers send beats and ask for state
     socket_address store;
     std::size_t memory_mb = 256;
     std::size_t descriptors = 1024;
--- a/src/daemon/rhubarbgrade_node.cpp
+++ b/src/daemon/rhubarbgrade_node.cpp
@@ -3,7 +3,7 @@
 #include <csignal>   // sigaddset, sigwait
 #include <exception> // exception
 #include <fstream>   // ifstream
-#include <iostream>  // cerr
+#include <iostream>  // cerr, cout
 #include <iterator>  // istreambuf_iterator
 #include <string>    // string
 #include <thread>    // thread
@@ -80,6 +80,10 @@
     try
     {
         rhubarbgrade::node host(std::move(settings));
+        host.start();
+        const auto ports = host.ports();
+        std::cout << "ready " << ports.readiness << "\npeers " << ports.peers
+                  << "\nlistening " << ports.callers << std::endl;
         std::thread(
             [&]
             {
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -37,6 +37,16 @@
     /// @throw boost::system::system_error if one can't be had
     void start();
 
+    std::uint16_t caller_port() const
+    {
+        return m_callers.local_endpoint().port();
+    }
+
+    std::uint16_t readiness_port() const
+    {
+        return m_questions.local_endpoint().port();
+    }
+
     void set_view(fleet_view_ptr_t view);
     void set_news(const budget_news_t& news);
     void lower(const token_map_t& holdings);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,6 @@
 #include "node.hpp"
 
 #include <memory>  // make_unique
-#include <string>  // string, to_string
 #include <thread>  // thread
 #include <utility> // move
 
@@ -23,18 +22,11 @@
 {
     explicit parts(node_settings with)
         : settings(std::move(with)),
-          control(control_loop, settings, identity(), traffic_port_of()),
+          control(control_loop, settings, random_hex(), traffic_port_of()),
           traffic(traffic_io, settings, control_port_of())
     {
     }
 
-    node_identity identity() const
-    {
-        return {settings.host, random_hex(),
-                settings.control.ip + ":" +
-                    std::to_string(settings.control.port)};
-    }
-
     traffic_port traffic_port_of()
     {
         traffic_port port;
@@ -123,12 +115,16 @@
 
 node::~node() = default;
 
+void node::start()
+{
+    m_parts->traffic.start();
+    m_parts->control.start();
+}
+
 void node::run()
 {
     const auto guard = asio::make_work_guard(m_parts->control_loop);
     const auto traffic_guard = asio::make_work_guard(m_parts->traffic_io);
-    m_parts->traffic.start();
-    m_parts->control.start();
     std::thread control(
         [this]
         {
@@ -138,6 +134,12 @@
     control.join();
 }
 
+node_ports node::ports() const
+{
+    return {m_parts->traffic.caller_port(), m_parts->traffic.readiness_port(),
+            m_parts->control.peer_address().port};
+}
+
 void node::stop()
 {
     asio::post(m_parts->traffic_io,
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,12 +1,21 @@
 #pragma once
 
-#include <memory> // unique_ptr
+#include <cstdint> // uint16_t
+#include <memory>  // unique_ptr
 
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // node_settings
 
 namespace rhubarbgrade
 {
 
+/// @brief Ports of a host; those that the settings leave open are the kernel's.
+struct node_ports
+{
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t peers = 0;
+};
+
 /// @brief A host of the fleet: one thread for control, one for traffic.
 class node
 {
@@ -17,8 +26,14 @@
     node(const node&) = delete;
     node& operator=(const node&) = delete;
 
+    /// @brief Listens on the addresses of the settings.
+    /// @throw std::exception if one can't be had
+    void start();
+
+    /// @brief The ports that are listened on, once started.
+    node_ports ports() const;
+
     /// @brief Serves until @ref stop has been carried out.
-    /// @throw std::exception if an address can't be listened on
     void run();
 
     /// @brief Begins the graceful shutdown; may be called from any thread.
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -39,15 +39,17 @@
 
 node_control::node_control(asio::io_context& loop,
                            const node_settings& settings,
-                           node_identity identity, traffic_port traffic)
+                           std::string incarnation, traffic_port traffic)
     : m_loop(loop),
       m_settings(settings),
-      m_identity(std::move(identity)),
+      m_peers(loop, settings, listener_for_peers()),
+      m_identity{settings.host, std::move(incarnation),
+                 m_peers.address().ip + ":" +
+                     std::to_string(m_peers.address().port)},
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
       m_escrow(loop.get_executor(), m_store, m_identity, listener_for_escrow()),
-      m_moves(loop.get_executor(), m_store),
-      m_peers(loop, settings, listener_for_peers())
+      m_moves(loop.get_executor(), m_store)
 {
 }
 
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -37,7 +37,13 @@
 {
 public:
     node_control(boost::asio::io_context& loop, const node_settings& settings,
-                 node_identity identity, traffic_port traffic);
+                 std::string incarnation, traffic_port traffic);
+
+    /// @brief Where peers find this host.
+    socket_address peer_address() const
+    {
+        return m_peers.address();
+    }
 
     /// @brief Starts to follow the store.
     void start();
@@ -71,12 +77,12 @@
 
     boost::asio::io_context& m_loop;
     const node_settings& m_settings;
+    peer_exchange m_peers;
     node_identity m_identity;
     traffic_port m_traffic;
     store_client m_store;
     escrow_keeper m_escrow;
     move_keeper m_moves;
-    peer_exchange m_peers;
     crash_pool m_crashes;
     endpoint_book m_endpoints;
     std::shared_ptr<const deployment> m_configuration;
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -51,22 +51,26 @@
       m_socket(loop),
       m_acceptor(loop)
 {
-}
-
-void peer_exchange::start()
-{
-    const auto own = to_endpoint(m_settings.control);
-    if (!own || m_settings.peer_port == 0)
-    {
-        spdlog::warn("no addresses for peers in the settings: none are told");
-        return;
-    }
-    m_socket.open(asio::ip::udp::v4());
-    m_socket.bind({own->address(), m_settings.peer_port});
+    const auto own = to_endpoint(m_settings.peers);
+    if (!own)
+        throw boost::system::system_error(
+            asio::error::make_error_code(asio::error::invalid_argument),
+            "listen for peers at " + m_settings.peers.ip);
     m_acceptor.open(asio::ip::tcp::v4());
     m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
     m_acceptor.bind(*own);
     m_acceptor.listen(backlog);
+    m_socket.open(asio::ip::udp::v4());
+    m_socket.bind({own->address(), m_acceptor.local_endpoint().port()});
+}
+
+socket_address peer_exchange::address() const
+{
+    return {m_settings.peers.ip, m_acceptor.local_endpoint().port()};
+}
+
+void peer_exchange::start()
+{
     spawn(m_loop, send_beats(), "beats to peers");
     spawn(m_loop, receive_beats(), "beats from peers");
     spawn(m_loop, accept_questions(), "questions of peers");
@@ -95,8 +99,8 @@
             if (!to || bytes.size() > largest_datagram)
                 continue;
             boost::system::error_code ignored; // beats may be lost
-            m_socket.send_to(asio::buffer(bytes),
-                             {to->address(), m_settings.peer_port}, 0, ignored);
+            m_socket.send_to(asio::buffer(bytes), {to->address(), to->port()},
+                             0, ignored);
         }
     }
 }
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -37,13 +37,17 @@
 class peer_exchange
 {
 public:
+    /// @brief Binds the address for peers, for datagrams and connections.
+    /// @throw boost::system::system_error if it can't be had
     peer_exchange(boost::asio::io_context& loop, const node_settings& settings,
                   peer_listener listener);
 
-    /// @brief Binds the addresses and begins.
-    /// @throw boost::system::system_error if one can't be had
+    /// @brief Begins to send and to answer.
     void start();
 
+    /// @brief Where peers find this host.
+    socket_address address() const;
+
     /// @brief Takes over where the hosts are, by name.
     void set_peers(const std::map<std::string, socket_address>& peers);
 
--- a/src/store/socket_options.cpp
+++ b/src/store/socket_options.cpp
@@ -35,7 +35,7 @@
 {
     boost::system::error_code fault;
     const auto ip = boost::asio::ip::make_address_v4(address.ip, fault);
-    if (fault || address.port == 0)
+    if (fault)
         return std::nullopt;
     return boost::asio::ip::tcp::endpoint(ip, address.port);
 }
--- /dev/null
+++ b/tests/integration/integration-node.cpp
@@ -0,0 +1,497 @@
+// Hosts on the users' platform as real processes, before a store and endpoints
+// that speak its protocol: the whole path, retries, budgets, configuration,
+// drains, troubles of the store.
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "process.hpp"
+#include "until.hpp"
+
+using harness::process;
+using harness::until;
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+namespace
+{
+
+const std::string build = RHUBARBGRADE_BUILD;
+constexpr int prepaid = 10000;
+
+class installation
+{
+public:
+    installation()
+    {
+        m_folder = fs::temp_directory_path() /
+                   ("rhubarbgrade-node-" + std::to_string(::getpid()) + "-" +
+                    std::to_string(++installations));
+        fs::create_directories(m_folder);
+        m_store = std::make_unique<process>(
+            std::vector<std::string>{build + "/tests/standin_store"},
+            log("store"));
+        put_configuration(1, {});
+    }
+
+    ~installation()
+    {
+        m_hosts.clear();
+        m_replicas.clear();
+        m_store.reset();
+        std::error_code ignored; // left behind in the temporary folder
+        if (std::getenv("RHUBARBGRADE_KEEP_LOGS") == nullptr)
+            fs::remove_all(m_folder, ignored);
+    }
+
+    httplib::Client store() const
+    {
+        httplib::Client client("127.0.0.1", m_store->port());
+        client.set_default_headers({{"X-Operator", "1"}});
+        return client;
+    }
+
+    void store_fault(const json& fault) const
+    {
+        REQUIRE(store().Put("/fault", fault.dump(), "application/json"));
+    }
+
+    void put_object(const std::string& kind, const std::string& name,
+                    const json& spec) const
+    {
+        const json body{{"metadata", {{"name", name}}}, {"spec", spec}};
+        auto client = store();
+        const auto made = client.Post("/api/objects/" + kind, body.dump(),
+                                      "application/json");
+        REQUIRE(made);
+        if (made->status == 409)
+            REQUIRE(client.Put("/api/objects/" + kind + "/" + name, body.dump(),
+                               "application/json"));
+    }
+
+    void put_configuration(int version, const json& more) const
+    {
+        const auto route = [](const std::string& prefix, const char* kind,
+                              const std::string& service, int attempts)
+        {
+            return json{{"name", prefix},
+                        {"hostname", "a.example"},
+                        {"pathPrefix", prefix},
+                        {"kind", kind},
+                        {"timeoutMs", 3000},
+                        {"targetLatencyMs", 800},
+                        {"service", service},
+                        {"maxAttempts", attempts},
+                        {"resumable", prefix == "/stream/resumed/"}};
+        };
+        json spec{
+            {"version", version},
+            {"routes",
+             {route("/read/", "idempotent", "desk", 2),
+              route("/book/", "non_idempotent", "desk", 1),
+              route("/stream/", "stream", "pool", 1),
+              route("/stream/resumed/", "stream", "pool", 2)}},
+            {"services",
+             {{{"name", "desk"}},
+              {{"name", "pool"}, {"engine", {{"slots", 8}, {"stride", 1}}}}}},
+            {"limits",
+             {{"maxHeaderBytes", 4096},
+              {"maxBodyBytes", 20000},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}},
+            {"tenants",
+             {{{"name", "clerks"}, {"apiKeys", {"k1"}}, {"prepaid", prepaid}},
+              {{"name", "others"}, {"apiKeys", {"k2"}}}}}};
+        for (const auto& [key, value] : more.items())
+            spec[key] = value;
+        put_object("config", "main", spec);
+    }
+
+    void add_replica(const std::string& id, const std::string& service)
+    {
+        m_replicas[id] = std::make_unique<process>(
+            std::vector<std::string>{build + "/tests/standin_replica",
+                                     "--id=" + id,
+                                     "--record=" + record().string()},
+            log(id));
+        list_replica(id, service, "ready");
+    }
+
+    void list_replica(const std::string& id, const std::string& service,
+                      const std::string& state) const
+    {
+        put_object("servers", id,
+                   {{"service", service},
+                    {"address",
+                     "127.0.0.1:" + std::to_string(m_replicas.at(id)->port())},
+                    {"zone", "z1"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", state}});
+    }
+
+    void replica_fault(const std::string& id, const json& fault) const
+    {
+        httplib::Client client("127.0.0.1", m_replicas.at(id)->port());
+        REQUIRE(client.Put("/fault", fault.dump(), "application/json"));
+    }
+
+    void kill_replica(const std::string& id)
+    {
+        m_replicas.at(id)->kill();
+    }
+
+    void start_host(const std::string& name)
+    {
+        const auto path = (m_folder / (name + ".toml")).string();
+        std::ofstream(path)
+            << "nodeName = \"" << name << "\"\nzone = \"z1\"\n"
+            << "ip = \"127.0.0.1\"\ninternalPortRange = [0,0]\n"
+            << "[listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+            << "[platform]\naddress = \"127.0.0.1:" << m_store->port()
+            << "\"\n[bounds]\ngraceS = 8\n";
+        m_hosts[name] = std::make_unique<process>(
+            std::vector<std::string>{build + "/rhubarbgrade_node", path},
+            log(name));
+        REQUIRE(until(
+            [&]
+            {
+                return ready(name);
+            }));
+    }
+
+    bool ready(const std::string& name) const
+    {
+        httplib::Client client("127.0.0.1", m_hosts.at(name)->port("ready"));
+        const auto answer = client.Get("/api/ready");
+        return answer && answer->status == 200;
+    }
+
+    process& host(const std::string& name)
+    {
+        return *m_hosts.at(name);
+    }
+
+    httplib::Client caller(const std::string& name) const
+    {
+        httplib::Client client("127.0.0.1", m_hosts.at(name)->port());
+        client.set_read_timeout(10);
+        return client;
+    }
+
+    /// Calls with a new request id.
+    httplib::Result call(const std::string& name, const std::string& path,
+                         httplib::Headers more = {}) const
+    {
+        httplib::Headers headers{{"Host", "a.example"},
+                                 {"Request-Id", next_id()},
+                                 {"Deadline-Ms", "3000"},
+                                 {"Authorization", "Token k1"}};
+        for (const auto& [key, value] : more)
+        {
+            headers.erase(key);
+            headers.emplace(key, value);
+        }
+        return caller(name).Post(path, headers, "body", "text/plain");
+    }
+
+    static std::string next_id()
+    {
+        static int id = 0;
+        return "r" + std::to_string(++id);
+    }
+
+    std::vector<json> runs(const std::string& path) const
+    {
+        std::vector<json> found;
+        std::ifstream in(record());
+        for (std::string line; std::getline(in, line);)
+        {
+            const auto event = json::parse(line);
+            if (event["path"] == path)
+                found.push_back(event);
+        }
+        return found;
+    }
+
+    fs::path record() const
+    {
+        return m_folder / "runs.json";
+    }
+
+private:
+    std::string log(const std::string& name) const
+    {
+        return (m_folder / (name + ".log")).string();
+    }
+
+    static inline int installations = 0;
+    fs::path m_folder;
+    std::unique_ptr<process> m_store;
+    std::map<std::string, std::unique_ptr<process>> m_replicas;
+    std::map<std::string, std::unique_ptr<process>> m_hosts;
+};
+
+std::string events(int from, int to)
+{
+    std::string text;
+    for (int i = from; i <= to; ++i)
+        text += "id: " + std::to_string(i) + "\ndata: piece" +
+                std::to_string(i) + "\n\n";
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("requests go the whole path with the right heads", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.add_replica("i-2", "pool");
+    site.start_host("h1");
+    const auto plain = site.call("h1", "/book/x", {{"Hold", "h"}});
+    REQUIRE(plain);
+    CHECK(plain->status == 200);
+    CHECK(plain->get_header_value("Response-Signature") == "s.i-1");
+    const auto runs = site.runs("/book/x");
+    REQUIRE(runs.size() == 1);
+    const auto& heads = runs[0]["headers"];
+    CHECK(heads["Tenant-Id"] == "clerks");
+    CHECK(heads["Expect-Instance"] == "i-1");
+    CHECK(std::stoi(heads["Deadline-Ms"].get<std::string>()) <= 3000);
+    CHECK_FALSE(heads.contains("Authorization"));
+    CHECK_FALSE(heads.contains("Hold"));
+    const auto stream = site.call("h1", "/stream/x", {{"Token-Usage", "10,5"}});
+    REQUIRE(stream);
+    CHECK(stream->status == 200);
+    CHECK(stream->body == events(1, 5));
+    CHECK(site.call("h1", "/none/")->status == 404);
+    CHECK(site.call("h1", "/book/x", {{"Authorization", "Token no"}})->status ==
+          401);
+}
+
+TEST_CASE("requests that break the limits harm nothing", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.start_host("h1");
+    const std::string large(30000, 'x');
+    CHECK(site.call("h1", "/read/x", {{"X-Large", large}})->status == 431);
+    const auto body = site.caller("h1").Post(
+        "/read/x", {{"Host", "a.example"}, {"Authorization", "Token k1"}},
+        large, "text/plain");
+    REQUIRE(body);
+    CHECK(body->status == 413);
+    CHECK(site.call("h1", "/read/x")->status == 200);
+    CHECK(site.runs("/read/x").size() == 1);
+}
+
+TEST_CASE("only what may be repeated is sent again", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.add_replica("i-2", "desk");
+    site.start_host("h1");
+    SECTION("a lost answer")
+    {
+        site.replica_fault("i-1", {{"lose_answer", true}});
+        site.replica_fault("i-2", {{"lose_answer", true}});
+        CHECK(site.call("h1", "/book/x")->status == 502);
+        CHECK(site.runs("/book/x").size() == 1);
+        CHECK(site.call("h1", "/read/x")->status == 502);
+        CHECK(site.runs("/read/x").size() == 2);
+    }
+    SECTION("a refusal")
+    {
+        site.replica_fault("i-1", {{"shed", true}});
+        for (int i = 0; i < 6; ++i)
+            CHECK(site.call("h1", "/book/x")->status == 200);
+        site.replica_fault("i-2", {{"shed", true}});
+        const auto refused = site.call("h1", "/book/y");
+        CHECK(refused->status == 503);
+        CHECK(refused->has_header("Retry-After"));
+        CHECK(site.runs("/book/y").empty());
+    }
+}
+
+TEST_CASE("a stream goes on at another endpoint, no piece twice", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "pool");
+    site.add_replica("i-2", "pool");
+    for (const auto* id : {"i-1", "i-2"})
+        site.replica_fault(id, {{"events", 6}, {"break_after", 3}});
+    site.start_host("h1");
+    const auto resumed =
+        site.call("h1", "/stream/resumed/x", {{"Token-Usage", "10,6"}});
+    REQUIRE(resumed);
+    CHECK(resumed->body == events(1, 6));
+    const auto runs = site.runs("/stream/resumed/x");
+    REQUIRE(runs.size() == 2);
+    CHECK(runs[1]["headers"]["Last-Event-Id"] == "3");
+    // Where the route doesn't allow it, the answer ends as broken.
+    const auto broken = site.call("h1", "/stream/y", {{"Token-Usage", "10,6"}});
+    CHECK_FALSE(broken);
+    CHECK(site.runs("/stream/y").size() == 1);
+}
+
+TEST_CASE("hosts together spend no more than the budget, over kills", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "pool");
+    site.start_host("h1");
+    site.start_host("h2");
+    int answered = 0;
+    const auto spend = [&](int calls)
+    {
+        for (int i = 0; i < calls; ++i)
+        {
+            const auto answer = site.call(i % 2 == 0 ? "h1" : "h2", "/stream/x",
+                                          {{"Token-Usage", "495,5"}});
+            if (answer && answer->status == 200)
+                ++answered;
+        }
+    };
+    spend(6);
+    CHECK(answered == 6);
+    SECTION("kill")
+    {
+        site.host("h1").kill();
+        site.start_host("h1");
+    }
+    SECTION("lost and late writes")
+    {
+        site.store_fault({{"lose_answers", 4}, {"late_ms", 1500}});
+    }
+    SECTION("graceful stop")
+    {
+        site.host("h1").signal(SIGTERM);
+        CHECK(site.host("h1").wait_exit() == 0);
+        site.start_host("h1");
+    }
+    spend(40);
+    CHECK(answered * 500 <= prepaid);
+    CHECK(answered >= 12);
+    const auto last = site.call("h2", "/stream/x", {{"Token-Usage", "9000,5"}});
+    CHECK((last->status == 402 || last->status == 429));
+}
+
+TEST_CASE("configuration and drains are followed over lost history", "[node]")
+{
+    installation site;
+    for (int i = 1; i <= 7; ++i) // more than a page
+        site.add_replica("i-" + std::to_string(i), "desk");
+    site.start_host("h1");
+    site.put_object("servers", "unreadable", {{"state", 7}});
+    site.store_fault({{"compact", true}});
+    for (int i = 2; i <= 7; ++i)
+        site.list_replica("i-" + std::to_string(i), "desk", "draining");
+    site.put_configuration(
+        2, {{"tenants", {{{"name", "clerks"}, {"apiKeys", {"k3"}}}}}});
+    CHECK(until(
+        [&]
+        {
+            const auto answer =
+                site.call("h1", "/read/x", {{"Authorization", "Token k3"}});
+            return answer && answer->status == 200;
+        }));
+    CHECK(site.call("h1", "/read/x")->status == 401);
+    const auto before = site.runs("/read/z").size();
+    CHECK(before == 0);
+    CHECK(until(
+        [&]
+        {
+            const auto answer =
+                site.call("h1", "/read/z", {{"Authorization", "Token k3"}});
+            return answer &&
+                   answer->get_header_value("Response-Signature") == "s.i-1";
+        }));
+}
+
+TEST_CASE("a host that the store refuses learns from its peers", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.start_host("h1");
+    site.start_host("h2");
+    // Both hosts know each other once both stand in the shared account.
+    CHECK(until(
+        [&]
+        {
+            const auto book = site.store().Get("/api/objects/escrow/main");
+            return book && book->status == 200 &&
+                   json::parse(book->body)["spec"]["hosts"].size() == 2;
+        }));
+    site.store_fault({{"refuse", 503}});
+    CHECK(site.call("h1", "/read/x")->status == 200);
+    site.store_fault({});
+    site.put_configuration(
+        5, {{"tenants", {{{"name", "clerks"}, {"apiKeys", {"k5"}}}}}});
+    for (const auto* name : {"h1", "h2"})
+        CHECK(until(
+            [&]
+            {
+                const auto answer =
+                    site.call(name, "/read/x", {{"Authorization", "Token k5"}});
+                return answer && answer->status == 200;
+            }));
+}
+
+TEST_CASE("a stop cuts no request in flight", "[node]")
+{
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.replica_fault("i-1", {{"delay_ms", 1500}});
+    site.start_host("h1");
+    httplib::Result answer(nullptr, httplib::Error::Unknown);
+    std::thread waiting(
+        [&]
+        {
+            answer = site.call("h1", "/book/x");
+        });
+    CHECK(until(
+        [&]
+        {
+            return !site.runs("/book/x").empty();
+        }));
+    site.host("h1").signal(SIGTERM);
+    CHECK(until(
+        [&]
+        {
+            return !site.ready("h1");
+        }));
+    waiting.join();
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(site.host("h1").wait_exit() == 0);
+}
+
+TEST_CASE("faulty settings are listed and nothing is served", "[node]")
+{
+    const auto path = fs::temp_directory_path() /
+                      ("rhubarbgrade-bad-" + std::to_string(::getpid()));
+    std::ofstream(path) << "nodeName = 3\n[listen]\nfront = \"nowhere\"\n";
+    const auto log = path.string() + ".log";
+    const auto command =
+        std::vector<std::string>{build + "/rhubarbgrade_node", path.string()};
+    CHECK_THROWS(process(command, log));
+    std::ifstream in(log);
+    const std::string text(std::istreambuf_iterator<char>(in), {});
+    CHECK(text.find("nodeName") != std::string::npos);
+    CHECK(text.find("listen.front") != std::string::npos);
+    CHECK(text.find("platform.address") != std::string::npos);
+}
