An endpoint's failure is never appended to a stream that has begun

Change: after the first piece only a success may go on in the answer; anything else is a failed attempt, and the answer ends as broken.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -200,6 +200,7 @@
     const auto self = shared_from_this();
     attempt_report report;
     const auto begun = time_point_t::clock::now();
+    const bool resumed = m_writer.begun();
     m_link = co_await m_directory.connect(m_endpoint, !plan.repeatable);
     if (!m_link || m_cancelled)
         co_return report;
@@ -218,6 +219,7 @@
     // What may not go to the caller is held, not passed on as it comes.
     const bool passable =
         !head.not_run && !promises_not_run(report.status) &&
+        (!resumed || is_success(report.status)) &&
         (!is_success(report.status) || (head.has_signature && !head.encoded));
     bool reusable = false;
     if (passable)
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -343,6 +343,12 @@
     const auto runs = site.runs("/stream/resumed/x");
     REQUIRE(runs.size() == 2);
     CHECK(runs[1]["headers"]["Last-Event-Id"] == "3");
+    // An endpoint that fails instead of going on adds nothing to the answer.
+    for (const auto* id : {"i-1", "i-2"})
+        site.replica_fault(
+            id, {{"events", 6}, {"break_after", 3}, {"resume_status", 500}});
+    CHECK_FALSE(
+        site.call("h1", "/stream/resumed/z", {{"Token-Usage", "10,6"}}));
     // Where the route doesn't allow it, the answer ends as broken.
     const auto broken = site.call("h1", "/stream/y", {{"Token-Usage", "10,6"}});
     CHECK_FALSE(broken);
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -38,6 +38,7 @@
     int break_after = 0; ///< events after which the stream breaks, 0: never
     bool shed = false;   ///< refuses without running
     int status = 200;
+    int resume_status = 200;  ///< of a stream that is to go on
     bool lose_answer = false; ///< runs, and breaks before an answer
 };
 
@@ -69,11 +70,14 @@
     void set_faults(const json& wanted)
     {
         const std::lock_guard lock(m_mutex);
-        m_faults = {
-            wanted.value("events", 5),         wanted.value("gap_ms", 0),
-            wanted.value("delay_ms", 0),       wanted.value("break_after", 0),
-            wanted.value("shed", false),       wanted.value("status", 200),
-            wanted.value("lose_answer", false)};
+        m_faults = {wanted.value("events", 5),
+                    wanted.value("gap_ms", 0),
+                    wanted.value("delay_ms", 0),
+                    wanted.value("break_after", 0),
+                    wanted.value("shed", false),
+                    wanted.value("status", 200),
+                    wanted.value("resume_status", 200),
+                    wanted.value("lose_answer", false)};
     }
 
     void answer_call(const httplib::Request& request, httplib::Response& answer)
@@ -116,9 +120,11 @@
                                         });
             return;
         }
-        answer.status = now.status;
+        const bool resumed = request.has_header("Last-Event-Id");
+        answer.status = resumed ? now.resume_status : now.status;
         answer.set_header("Response-Signature", "s." + FLAGS_id);
-        if (request.path.find("/stream/") == std::string::npos)
+        if (request.path.find("/stream/") == std::string::npos ||
+            answer.status != 200)
             answer.set_content("run " + std::to_string(++m_runs), "text/plain");
         else
             stream(request, answer, now);
