--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -64,9 +64,9 @@
 /// @brief How far ahead hosts draw.
 struct escrow_policy
 {
-    double most_s = 6;         ///< never hold more than this much use
+    double most_s = 9;         ///< never hold more than this much use
     double least_s = 3;        ///< nor less, while there is any
-    double share_left = 0.25;  ///< of what is left, what all hosts may hold
+    double share_left = 0.35;  ///< of what is left, what all hosts may hold
     double low_part = 0.65;    ///< of the target, under which a draw is due
     double refill_part = 0.85; ///< under which a draw that is made anyway
                                ///< takes this customer along
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -71,6 +71,15 @@
     return from.services.back().service;
 }
 
+/// Tokens that an event is charged for; all of them where it isn't configured.
+token_count_t tokens_of_event(const pool_service& service,
+                              const platform::call_head& head)
+{
+    if (const auto& engine = service.engine)
+        return engine->tokens_per_event;
+    return head.answer_tokens_limit;
+}
+
 } // namespace
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_session> session,
@@ -197,11 +206,12 @@
     token_count_t used = 0;
     if (m_may_have_run)
     {
-        const auto service = m_view->configuration->services.find(m_service);
-        std::uint64_t tokens_per_event = m_head.answer_tokens_limit;
-        if (service != m_view->configuration->services.end() &&
-            service->second.engine)
-            tokens_per_event = service->second.engine->tokens_per_event;
+        const auto& services = m_view->configuration->services;
+        const auto service = services.find(m_service);
+        const auto tokens_per_event =
+            service == services.end()
+                ? m_head.answer_tokens_limit
+                : tokens_of_event(service->second, m_head);
         used = m_head.prompt_tokens +
                std::min(m_head.answer_tokens_limit,
                         m_writer.events() * tokens_per_event);
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -91,6 +91,14 @@
            (endpoint.entry.version == split->target) == to_target;
 }
 
+/// How long a connection may lie idle before it is used again.
+milliseconds idle_time(const endpoint_link& link)
+{
+    if (const auto& limit = link.idle_limit)
+        return std::max(milliseconds(0), *limit - idle_margin);
+    return idle_assumed;
+}
+
 /// This host's part of an endpoint's slots; more than an equal part, since
 /// hosts are not equally loaded.
 std::uint32_t slot_limit(const pool_endpoint& endpoint, std::size_t hosts)
@@ -214,11 +222,8 @@
     {
         auto link = std::move(endpoint->idle.back());
         endpoint->idle.pop_back();
-        const auto limit =
-            std::min(fresh_only ? fresh_idle : milliseconds::max(),
-                     std::max(milliseconds(0),
-                              link->idle_limit ? *link->idle_limit - idle_margin
-                                               : idle_assumed));
+        const auto limit = std::min(
+            fresh_only ? fresh_idle : milliseconds::max(), idle_time(*link));
         if (now - link->idle_since < limit && is_quiet(link->socket))
             co_return link;
     }
@@ -315,10 +320,7 @@
         std::erase_if(each->idle,
                       [&](const auto& link)
                       {
-                          const auto limit =
-                              link->idle_limit ? *link->idle_limit - idle_margin
-                                               : idle_assumed;
-                          return now - link->idle_since >= limit;
+                          return now - link->idle_since >= idle_time(*link);
                       });
 }
 
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -47,9 +47,9 @@
 /// @brief What the sessions of the traffic thread share.
 struct traffic_context
 {
-    traffic_context(boost::asio::any_io_executor with_executor,
+    traffic_context(const boost::asio::any_io_executor& with_executor,
                     const node_settings& with_settings,
-                    random_source_t with_random,
+                    const random_source_t& with_random,
                     std::function<void()> tokens_wanted,
                     std::function<void(const version_sample&)> with_sample,
                     std::function<void(std::uint64_t)> crashed)
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -55,7 +55,9 @@
         if (mine.known && mine.news.known_used + bound > mine.news.prepaid)
             co_return reserve_end::exhausted;
         const auto now = time_point_t::clock::now();
-        if (now >= until || (mine.known && mine.news.left == 0))
+        const bool drawable =
+            !mine.known || (mine.news.left != 0 && mine.news.can_draw);
+        if (now >= until || !drawable)
             co_return reserve_end::unavailable;
         mine.state.waiting += bound;
         m_wanted();
--- a/src/gateway/wallet_table.hpp
+++ b/src/gateway/wallet_table.hpp
@@ -22,6 +22,7 @@
     token_count_t left = 0;       ///< undrawn in the store
     token_count_t known_used = 0; ///< certainly spent, by all hosts
     token_count_t prepaid = 0;
+    bool can_draw = true; ///< the store takes draws now
 };
 
 using budget_news_t = std::map<std::string, budget_news, std::less<>>;
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -33,6 +33,9 @@
 /// so draws are sized for seconds.
 constexpr milliseconds look_pause{400};
 
+/// Calls failed in turn after which requests no longer wait for a draw.
+constexpr int failures_to_wait = 2;
+
 /// Pause after a failed call.
 constexpr milliseconds failure_pause{150};
 
@@ -53,7 +56,7 @@
 
 } // namespace
 
-escrow_keeper::escrow_keeper(asio::any_io_executor executor,
+escrow_keeper::escrow_keeper(const asio::any_io_executor& executor,
                              store_client& store, node_identity identity,
                              escrow_listener listener)
     : m_store(store),
@@ -110,7 +113,8 @@
         if (m_lowering.contains(customer))
             continue;
         news[customer] = {value_of(m_usable, customer), left,
-                          known_used(m_book, customer), prepaid};
+                          known_used(m_book, customer), prepaid,
+                          m_failures < failures_to_wait};
     }
     m_listener.news(std::move(news));
 }
@@ -124,13 +128,12 @@
         return;
     }
     const auto& drawn = m_book.hosts[m_identity.host].drawn;
-    const bool open = m_pending && m_pending->revision == m_revision;
-    if (!open)
+    if (m_pending && m_pending->revision != m_revision)
         m_pending.reset();
     for (const auto& [customer, tokens] : drawn)
     {
         auto sure = tokens;
-        if (open)
+        if (m_pending)
             sure = std::min(sure, value_of(m_pending->drawn, customer));
         // A holding that is being given back isn't raised by an older book.
         if (!m_lowering.contains(customer))
@@ -185,6 +188,7 @@
         platform::object_target(book_kind, book_name, stale_allowed), {},
         call_timeout);
     m_read_at = time_point_t::clock::now();
+    note_call(answer.is(200) || answer.is(404));
     if (answer.is(200))
         take_over(answer.body);
     else if (answer.is(404) && !stale_allowed)
@@ -223,6 +227,7 @@
         co_await m_store.call(call_purpose::budget, verb::put,
                               platform::object_target(book_kind, book_name),
                               std::move(body), call_timeout);
+    note_call(answer.is(200) || answer.is(409));
     if (answer.is(200) || answer.is(409))
     {
         m_pending.reset();
@@ -323,6 +328,14 @@
     co_return failure_pause;
 }
 
+void escrow_keeper::note_call(bool answered)
+{
+    const bool could_draw = m_failures < failures_to_wait;
+    m_failures = answered ? 0 : m_failures + 1;
+    if (could_draw != (m_failures < failures_to_wait) && adopted())
+        tell();
+}
+
 asio::awaitable<void> escrow_keeper::run()
 {
     m_running = true;
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -47,8 +47,9 @@
 class escrow_keeper
 {
 public:
-    escrow_keeper(boost::asio::any_io_executor executor, store_client& store,
-                  node_identity identity, escrow_listener listener);
+    escrow_keeper(const boost::asio::any_io_executor& executor,
+                  store_client& store, node_identity identity,
+                  escrow_listener listener);
 
     /// @brief Takes over the budgets of a configuration.
     void set_budgets(token_map_t budgets);
@@ -81,6 +82,7 @@
 
     boost::asio::awaitable<void> refresh(bool stale_allowed);
     void note_rates();
+    void note_call(bool answered);
     boost::asio::awaitable<write_end> write(escrow_book wanted);
     boost::asio::awaitable<milliseconds> step();
     boost::asio::awaitable<void> create();
@@ -116,6 +118,7 @@
 
     std::map<std::string, fleet_use, std::less<>> m_fleet;
     bool m_failing = false; ///< a need isn't met sooner by calling again
+    int m_failures = 0;     ///< calls failed in turn
     bool m_running = false;
     bool m_closing = false;
     bool m_stale = true; ///< read the book before the next plan
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -87,6 +87,7 @@
 std::vector<shared_move> move_keeper::moves(time_point_t now) const
 {
     std::vector<shared_move> all;
+    all.reserve(m_moves.size());
     for (const auto& [service, each] : m_moves)
         all.push_back({each.order, std::chrono::duration_cast<milliseconds>(
                                        now - each.seen)});
--- a/src/store/http_link.cpp
+++ b/src/store/http_link.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-http_link::http_link(asio::any_io_executor executor, socket_address peer)
+http_link::http_link(const asio::any_io_executor& executor, socket_address peer)
     : m_socket(executor), m_timer(executor), m_peer(std::move(peer))
 {
 }
--- a/src/store/http_link.hpp
+++ b/src/store/http_link.hpp
@@ -43,7 +43,8 @@
 class http_link : public std::enable_shared_from_this<http_link>
 {
 public:
-    http_link(boost::asio::any_io_executor executor, socket_address peer);
+    http_link(const boost::asio::any_io_executor& executor,
+              socket_address peer);
 
     /// @brief Sends one request and waits for its answer.
     ///
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -23,7 +23,7 @@
     budget,
     move,
     membership,
-    count_, ///< number of purposes
+    number_of_purposes,
 };
 
 /// @brief The one way to the platform's store: calls on kept connections,
@@ -50,7 +50,8 @@
     boost::asio::any_io_executor m_executor;
     socket_address m_address;
     std::vector<std::shared_ptr<http_link>> m_idle;
-    std::array<std::uint64_t, static_cast<std::size_t>(call_purpose::count_)>
+    std::array<std::uint64_t,
+               static_cast<std::size_t>(call_purpose::number_of_purposes)>
         m_calls{};
 };
 
--- a/tests/unit/unit-wallet.cpp
+++ b/tests/unit/unit-wallet.cpp
@@ -79,6 +79,14 @@
     CHECK(**end == reserve_end::reserved);
 }
 
+TEST_CASE("nothing waits for a store that takes no draws", "[wallet]")
+{
+    wallet_fixture host;
+    host.wallets.update({{"clerks", {10, 500, 0, 1000, false}}});
+    CHECK(*host.reserve(60, std::chrono::seconds(60)) ==
+          reserve_end::unavailable);
+}
+
 TEST_CASE("nothing left means refused, certainly spent means exhausted",
           "[wallet]")
 {
