Adapter, peers' messages and quarantine tested without a network

Cause: the adapter's decoders and the pool of crashes had no tests of their own; the stand-ins slept for the delays that tests ask of them.

--- a/include/rhubarbgrade/detail/moves/trial.hpp
+++ b/include/rhubarbgrade/detail/moves/trial.hpp
@@ -34,7 +34,7 @@
 /// then is the move reported as done, which ends the old version.
 /// @param[in] evidence  of all hosts
 /// @param[in] elapsed   since the order was first seen
-/// @param[in] limit     the order's time limit
+/// @param[in] limit     by when the order wants the move ended
 trial_step decide_trial(const move_evidence_t& evidence, milliseconds elapsed,
                         milliseconds limit, const trial_policy& policy);
 
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -11,12 +11,12 @@
 #include <chrono>
 #include <mutex>
 #include <string>
-#include <thread>
 
 #include <gflags/gflags.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "delay.hpp"
 #include "listen.hpp"
 #include "record.hpp"
 
@@ -110,7 +110,7 @@
                          {"path", request.path},
                          {"body", request.body},
                          {"headers", headers}});
-        std::this_thread::sleep_for(milliseconds(now.delay_ms));
+        standin::delay(milliseconds(now.delay_ms));
         if (now.lose_answer)
         {
             answer.set_content_provider(1, "text/plain",
@@ -152,7 +152,7 @@
                     sink.write(part.data(), part.size());
                     return false;
                 }
-                std::this_thread::sleep_for(milliseconds(now.gap_ms));
+                standin::delay(milliseconds(now.gap_ms));
                 const auto event = "id: " + std::to_string(next) +
                                    "\ndata: piece" + std::to_string(next) +
                                    "\n\n";
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -11,12 +11,12 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 
 #include <gflags/gflags.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "delay.hpp"
 #include "listen.hpp"
 
 DEFINE_int32(port, 0, "port to listen on, 0 for one from the kernel");
@@ -229,7 +229,7 @@
             now = m_faults;
         }
         if (now.silent_ms != 0)
-            std::this_thread::sleep_for(milliseconds(now.silent_ms));
+            standin::delay(milliseconds(now.silent_ms));
         if (now.refuse == 0)
             return unhandled;
         answer.status = now.refuse;
@@ -285,7 +285,7 @@
         int late_ms = 0;
         if (!request.has_header("X-Operator") && loses(late_ms))
         {
-            std::this_thread::sleep_for(milliseconds(late_ms));
+            standin::delay(milliseconds(late_ms));
             m_store.write(kind, name, part, body, create);
             answer.status = 0;
             answer.set_content_provider(1, "text/plain",
--- /dev/null
+++ b/tests/unit/unit-adapter.cpp
@@ -0,0 +1,193 @@
+// The adapter of the users' platform: what it decodes, what it drops, and that
+// bytes from anyone are an error at worst.
+
+#include <random> // mt19937
+#include <string> // string
+
+#include <boost/beast/http/field.hpp> // field
+
+#include <catch2/catch.hpp>
+
+#include <platform/boot_settings.hpp>   // decode_settings
+#include <platform/caller_codec.hpp>    // decode_call
+#include <platform/object_decoders.hpp> // decode_deployment
+#include <platform/store_calls.hpp>     // decode_list
+
+#include "../../src/node/crash_pool.hpp"  // crash_pool
+#include "../../src/peers/peer_state.hpp" // decode_beat
+
+using namespace rhubarbgrade;
+
+namespace
+{
+
+constexpr const char* good_settings = R"(
+nodeName = "h1"
+zone = "z1"
+ip = "10.1.0.4"
+internalPortRange = [7340, 7355]
+unknown = 1
+[listen]
+front = "10.1.0.4:8227"
+ready = "10.1.0.4:8220"
+[platform]
+address = "10.9.0.1:80"
+[bounds]
+drainMs = 2500
+graceS = 9
+)";
+
+platform::stored_object entry(const std::string& spec)
+{
+    return {"i-1", 5, 3, spec, {}};
+}
+
+} // namespace
+
+TEST_CASE("settings are decoded, and each fault is named", "[adapter]")
+{
+    const auto good = platform::decode_settings(good_settings);
+    CHECK(good.faults.empty());
+    CHECK(good.settings.peers == socket_address{"10.1.0.4", 7340});
+    CHECK(good.settings.bounds.drain == milliseconds(2500));
+    CHECK(good.settings.bounds.grace == milliseconds(9000));
+    const auto bad = platform::decode_settings(
+        "zone = 3\n[listen]\nfront = \"x:99999\"\n[bounds]\ngraceS = \"a\"\n");
+    CHECK(bad.faults.size() >= 5);
+    CHECK(platform::decode_settings("a = [").faults.size() == 1);
+}
+
+TEST_CASE("a configuration is decoded into the product's types", "[adapter]")
+{
+    const auto read = platform::decode_deployment(R"({"version":7,
+        "routes":[{"name":"r","hostname":"a","pathPrefix":"/p/",
+          "kind":"stream","timeoutMs":900,"targetLatencyMs":300,
+          "trafficSplit":[{"service":"s","weight":90},
+                          {"service":"t","weight":10}],
+          "maxAttempts":2,"resumable":true}],
+        "services":[{"name":"s","engine":{"slots":8,"stride":4}},
+                    {"name":"t"}],
+        "tenants":[{"name":"c","apiKeys":["k"],"prepaid":5}]})");
+    REQUIRE(read);
+    CHECK(read->version == 7);
+    const auto* route = find_route(*read, "a", "/p/x");
+    REQUIRE(route != nullptr);
+    CHECK(route->services.size() == 2);
+    CHECK(route->services[1].weight == 10);
+    CHECK(route->resumable);
+    CHECK(read->services.at("s").engine->tokens_per_event == 4);
+    REQUIRE(find_customer(*read, "k") != nullptr);
+    CHECK(find_customer(*read, "k")->prepaid == token_count_t{5});
+    CHECK(find_customer(*read, "x") == nullptr);
+    CHECK_FALSE(platform::decode_deployment("{}"));
+}
+
+TEST_CASE("an unreadable entry names no endpoint", "[adapter]")
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80",
+        "zone":"z","version":"v1","slots":4,"state":"draining","born":9})";
+    const auto read = platform::decode_endpoint(entry(good));
+    REQUIRE(read);
+    CHECK(read->leaving);
+    CHECK(read->started == 9);
+    for (const auto* bad :
+         {"", "[]", "{}", R"({"service":"s","address":"x","zone":"z",
+            "version":"v1","slots":4,"state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+            "version":"v1","slots":4,"state":"odd"})",
+          R"({"service":1,"address":"10.0.0.1:80","zone":"z",
+            "version":"v1","slots":4,"state":"ready"})"})
+        CHECK_FALSE(platform::decode_endpoint(entry(bad)));
+}
+
+TEST_CASE("a move's end counts only for its target", "[adapter]")
+{
+    auto object = entry(R"({"service":"s","target":"v3","durationS":12})");
+    CHECK(platform::decode_move(object)->state == order_state::running);
+    object.status = R"({"state":"succeeded","target":"v2"})";
+    CHECK(platform::decode_move(object)->state == order_state::running);
+    object.status = R"({"state":"reverted","target":"v3"})";
+    CHECK(platform::decode_move(object)->state == order_state::reverted);
+    object.spec = "{}";
+    CHECK_FALSE(platform::decode_move(object));
+}
+
+TEST_CASE("heads lose what is not to be forwarded and keep the rest",
+          "[adapter]")
+{
+    platform::fields_t from;
+    from.insert("Request-Id", "r1");
+    from.insert("Authorization", "Token k1");
+    from.insert("Token-Usage", "1460,80");
+    from.insert("Prefix-Hash", "5c1e07a2:800,zz:1,e4402b7d:250");
+    from.insert("Deadline-Ms", "900");
+    from.insert("Tenant-Id", "forged");
+    from.insert("Kv-From", "10.0.0.1:1/x");
+    from.insert("Pin-Ms", "100");
+    from.insert("X-Own", "kept");
+    from.insert("X-Hop", "dropped");
+    from.insert(boost::beast::http::field::connection,
+                "X-Hop, Token-Usage, keep-alive");
+    const auto head = platform::decode_call(from);
+    CHECK(head.id == "r1");
+    CHECK(head.key == "k1");
+    CHECK(head.prompt_tokens == 1460);
+    CHECK(head.answer_tokens_limit == 80);
+    CHECK(head.parts.size() == 2);
+    CHECK(head.deadline == milliseconds(900));
+    platform::fields_t to;
+    platform::copy_call_headers(from, to);
+    platform::set_forward_head({"i-1", "clerks", milliseconds(800), 4, {}}, to);
+    for (const auto* gone :
+         {"Authorization", "Kv-From", "Pin-Ms", "X-Hop", "Connection"})
+        CHECK(to.find(gone) == to.end());
+    CHECK(to["Token-Usage"] == "1460,80");
+    CHECK(to["X-Own"] == "kept");
+    CHECK(to["Tenant-Id"] == "clerks");
+    CHECK(to["Deadline-Ms"] == "800");
+    CHECK(to["Last-Event-Id"] == "4");
+    CHECK(to.count("Tenant-Id") == 1);
+}
+
+TEST_CASE("what hosts tell each other survives, and noise is an error",
+          "[adapter]")
+{
+    peer_beat beat;
+    beat.host = "h1";
+    beat.configuration = 7;
+    beat.crashes[5] = 2;
+    beat.evidence.push_back({"s", "v2", {}});
+    add_sample(beat.evidence[0].routes["r"], true, false, 0.2);
+    const auto bytes = encode_beat(beat);
+    const auto read = decode_beat(bytes);
+    REQUIRE(read);
+    CHECK(read->host == "h1");
+    CHECK(read->crashes == beat.crashes);
+    CHECK(read->evidence[0].routes.at("r").to_all.errors == 1);
+    std::mt19937 random(7); // NOLINT(cert-msc51-cpp): fixed for CI
+    for (int i = 0; i < 2000; ++i)
+    {
+        auto noise = bytes;
+        for (int k = 0; k < 3; ++k)
+            noise[random() % noise.size()] = static_cast<char>(random());
+        noise.resize(random() % (noise.size() + 1));
+        static_cast<void>(decode_beat(noise));
+        static_cast<void>(decode_state(noise));
+        static_cast<void>(platform::decode_list(noise));
+    }
+    CHECK_FALSE(decode_beat("no message"));
+}
+
+TEST_CASE("a request is quarantined after three crashes seen by any host",
+          "[adapter]")
+{
+    const time_point_t now = time_point_t{} + std::chrono::hours(1);
+    crash_pool crashes;
+    CHECK_FALSE(crashes.note(11, now));
+    CHECK_FALSE(crashes.set_peer("h2", {{11, 1}, {12, 1}}, now));
+    CHECK(crashes.quarantined().empty());
+    CHECK(crashes.set_peer("h3", {{11, 1}}, now));
+    CHECK(crashes.quarantined().contains(11));
+    CHECK_FALSE(crashes.quarantined().contains(12));
+    CHECK(crashes.own(now + std::chrono::minutes(2)).empty());
+}
