--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -500,4 +500,6 @@
     CHECK(text.find("nodeName") != std::string::npos);
     CHECK(text.find("listen.front") != std::string::npos);
     CHECK(text.find("platform.address") != std::string::npos);
+    fs::remove(path);
+    fs::remove(log);
 }
