--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -26,6 +26,9 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
 
+/// Statuses from here on are failures of the endpoint.
+constexpr unsigned first_error = 500;
+
 /// Retry-After is spread from the first value over the second, so that those
 /// refused together don't come back together.
 constexpr milliseconds least_pause{250};
@@ -270,7 +273,6 @@
 {
     if (report.end == attempt_end::not_sent && !report.whole)
         return;
-    constexpr unsigned first_error = 500;
     const bool good = m_left || (report.whole && report.status < first_error);
     auto latency = report.latency_s;
     // A caller that left without a byte has waited at least so long.
@@ -299,6 +301,63 @@
     co_return co_await m_writer.write_whole(std::move(answer));
 }
 
+platform::forward_head
+caller_exchange::make_head(const pool_endpoint& endpoint) const
+{
+    platform::forward_head head;
+    head.endpoint_id = endpoint.entry.id;
+    if (m_customer != nullptr)
+        head.customer = m_customer->name;
+    head.time_left = std::chrono::duration_cast<milliseconds>(
+        m_deadline - time_point_t::clock::now());
+    if (m_writer.begun())
+        head.after_event = m_writer.last_event();
+    return head;
+}
+
+asio::awaitable<attempt_report>
+caller_exchange::attempt(endpoint_ptr_t endpoint)
+{
+    m_tried.push_back(endpoint);
+    ++endpoint->in_flight;
+    endpoint->prompt_tokens_waiting += m_head.prompt_tokens;
+    m_attempt = std::make_shared<endpoint_attempt>(m_context.directory,
+                                                   endpoint, m_writer);
+    const bool repeatable =
+        m_route->kind == call_kind::idempotent || m_route->resumable;
+    const attempt_plan plan{
+        m_request,  make_head(*endpoint),
+        m_head.id,  m_route->kind == call_kind::stream,
+        repeatable, m_request.keep_alive() && !m_context.stopping};
+    auto report = co_await m_attempt->run(plan);
+    m_attempt.reset();
+    --endpoint->in_flight;
+    endpoint->prompt_tokens_waiting -= m_head.prompt_tokens;
+    m_context.room.wake(m_service);
+    co_return report;
+}
+
+void caller_exchange::note_attempt(pool_endpoint& endpoint,
+                                   const attempt_report& report)
+{
+    const auto now = time_point_t::clock::now();
+    if (report.whole || report.end == attempt_end::may_have_run ||
+        report.end == attempt_end::failed)
+        m_may_have_run = true;
+    // An attempt that was cut short by this side says nothing of the endpoint.
+    if (!m_left && !m_expired)
+    {
+        m_context.directory.note_end(
+            endpoint, report.whole && report.status < first_error, now);
+        if (report.broken)
+            endpoint_directory::note_broken(endpoint, fingerprint(), now);
+    }
+    note_sample(endpoint, report);
+    if (report.whole)
+        for (const auto& part : m_head.parts)
+            endpoint.parts.note(part.id, now);
+}
+
 asio::awaitable<bool> caller_exchange::serve()
 {
     attempt_report report;
@@ -309,45 +368,12 @@
             co_return false;
         if (!endpoint)
             break;
-        m_tried.push_back(endpoint);
-        ++endpoint->in_flight;
-        endpoint->prompt_tokens_waiting += m_head.prompt_tokens;
-        m_attempt = std::make_shared<endpoint_attempt>(m_context.directory,
-                                                       endpoint, m_writer);
-        platform::forward_head forward;
-        forward.endpoint_id = endpoint->entry.id;
-        if (m_customer != nullptr)
-            forward.customer = m_customer->name;
-        forward.time_left = std::chrono::duration_cast<milliseconds>(
-            m_deadline - time_point_t::clock::now());
-        if (m_writer.begun())
-            forward.after_event = m_writer.last_event();
-        const bool repeatable =
-            m_route->kind == call_kind::idempotent || m_route->resumable;
-        report = co_await m_attempt->run(
-            {m_request, forward, m_head.id, m_route->kind == call_kind::stream,
-             repeatable, m_request.keep_alive() && !m_context.stopping});
-        m_attempt.reset();
-        --endpoint->in_flight;
-        endpoint->prompt_tokens_waiting -= m_head.prompt_tokens;
-        m_context.room.wake(m_service);
-        const auto now = time_point_t::clock::now();
-        if (report.end == attempt_end::may_have_run ||
-            report.end == attempt_end::failed || report.whole)
-            m_may_have_run = true;
-        if (!m_left && !m_expired)
-            m_context.directory.note_end(
-                *endpoint, report.whole && report.status < 500, now);
-        if (!m_left && !m_expired && report.broken)
-            endpoint_directory::note_broken(*endpoint, fingerprint(), now);
-        note_sample(*endpoint, report);
-        if (report.whole)
-            for (const auto& part : m_head.parts)
-                endpoint->parts.note(part.id, now);
+        report = co_await attempt(endpoint);
+        note_attempt(*endpoint, report);
         if (m_left || report.caller_lost)
             co_return false;
         const bool good =
-            report.whole && (report.status < 500 || m_writer.begun());
+            report.whole && (report.status < first_error || m_writer.begun());
         if (good || m_expired || !may_repeat(report))
             break;
         m_writer.drop_rest();
@@ -356,14 +382,13 @@
         co_return co_await finish(std::move(report));
     if (m_writer.begun())
         co_return false; // a part of an answer must not look whole
+    own_answer answer{m_expired ? gateway_timeout : bad_gateway,
+                      "the request may have run",
+                      {}};
     if (!m_may_have_run)
-        co_return co_await refuse({unavailable,
-                                   "no endpoint can take the "
-                                   "request now",
-                                   retry_pause()});
-    co_return co_await refuse({m_expired ? gateway_timeout : bad_gateway,
-                               "the request may have run",
-                               {}});
+        answer = {unavailable, "no endpoint can take the request now",
+                  retry_pause()};
+    co_return co_await refuse(answer);
 }
 
 asio::awaitable<bool> caller_exchange::run()
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -46,6 +46,9 @@
     boost::asio::awaitable<bool> admitted();
     boost::asio::awaitable<bool> serve();
     boost::asio::awaitable<endpoint_ptr_t> find_endpoint();
+    platform::forward_head make_head(const pool_endpoint& endpoint) const;
+    boost::asio::awaitable<attempt_report> attempt(endpoint_ptr_t endpoint);
+    void note_attempt(pool_endpoint& endpoint, const attempt_report& report);
     boost::asio::awaitable<bool> finish(attempt_report report);
     std::optional<own_answer> check_request();
     bool may_repeat(const attempt_report& report);
