Changed settings are taken over while running

Cause: SIGHUP and a changed file were logged only; the platform may change the settings file with or without a signal. Test: integration-node "changed settings...", which failed in its 3 sections before. The harness now keeps what a process prints after its ports; it closed the pipe before.

--- a/include/rhubarbgrade/detail/fleet/node_settings.hpp
+++ b/include/rhubarbgrade/detail/fleet/node_settings.hpp
@@ -31,6 +31,8 @@
     double retry_slack = 50; ///< retries of all hosts beside the ratio
     double exposure_share = 0.1;
     double exposure_slack = 50; ///< requests to a bad version beside the share
+
+    bool operator==(const node_bounds&) const = default;
 };
 
 /// @brief What a host learns of itself at its start.
@@ -45,6 +47,8 @@
     std::size_t memory_mb = 256;
     std::size_t descriptors = 1024;
     node_bounds bounds;
+
+    bool operator==(const node_settings&) const = default;
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -259,7 +259,7 @@
     const auto answer = rhubarbgrade::may_repeat(question);
     if (answer != repeat_answer::budgeted)
         return answer == repeat_answer::free;
-    const auto& bounds = m_context.settings.bounds;
+    const auto& bounds = m_context.bounds;
     const shared_retry_limit limit{bounds.retry_ratio, bounds.retry_slack,
                                    bounds.retry_window, m_context.view->hosts};
     if (!take_retry(m_context.retries[m_service], limit, now))
@@ -405,9 +405,9 @@
         if (co_await admitted())
         {
             note_first(m_context.retries[m_service],
-                       {m_context.settings.bounds.retry_ratio,
-                        m_context.settings.bounds.retry_slack,
-                        m_context.settings.bounds.retry_window, 1},
+                       {m_context.bounds.retry_ratio,
+                        m_context.bounds.retry_slack,
+                        m_context.bounds.retry_window, 1},
                        time_point_t::clock::now());
             whole = co_await serve();
         }
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -54,7 +54,7 @@
                     std::function<void(const version_sample&)> with_sample,
                     std::function<void(std::uint64_t)> crashed)
         : executor(with_executor),
-          settings(with_settings),
+          bounds(with_settings.bounds),
           random(with_random),
           directory(with_executor, with_settings.zone, with_random,
                     std::move(crashed)),
@@ -65,7 +65,7 @@
     }
 
     boost::asio::any_io_executor executor;
-    const node_settings& settings;
+    node_bounds bounds; ///< as last read
     random_source_t random;
     fleet_view_ptr_t view = std::make_shared<fleet_view>();
     endpoint_directory directory;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -112,6 +112,11 @@
         m_context.room.wake(service);
 }
 
+void traffic_loop::set_bounds(const node_bounds& bounds)
+{
+    m_context.bounds = bounds;
+}
+
 void traffic_loop::set_news(const budget_news_t& news)
 {
     m_context.wallets.update(news);
@@ -199,7 +204,7 @@
 traffic_loop::drain(std::function<void(wallet_states_t)> done)
 {
     const auto end =
-        time_point_t::clock::now() + m_settings.bounds.grace - last_write;
+        time_point_t::clock::now() + m_context.bounds.grace - last_write;
     asio::steady_timer timer(m_loop, unready_notice);
     co_await timer.async_wait(as_values);
     boost::system::error_code ignored; // no more is taken either way
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -48,6 +48,9 @@
     }
 
     void set_view(fleet_view_ptr_t view);
+    /// @brief Takes over changed bounds.
+    void set_bounds(const node_bounds& bounds);
+
     void set_news(const budget_news_t& news);
     void lower(const token_map_t& holdings);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -140,6 +140,15 @@
             m_parts->control.peer_address().port};
 }
 
+void node::set_bounds(const node_bounds& bounds)
+{
+    asio::post(m_parts->traffic_io,
+               [this, bounds]
+               {
+                   m_parts->traffic.set_bounds(bounds);
+               });
+}
+
 void node::stop()
 {
     asio::post(m_parts->traffic_io,
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -36,6 +36,9 @@
     /// @brief Serves until @ref stop has been carried out.
     void run();
 
+    /// @brief Takes over changed bounds; may be called from any thread.
+    void set_bounds(const node_bounds& bounds);
+
     /// @brief Begins the graceful shutdown; may be called from any thread.
     void stop();
 
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -149,15 +149,27 @@
         m_replicas.at(id)->kill();
     }
 
-    void start_host(const std::string& name)
+    /// Writes a host's settings file, as the platform renders it.
+    std::string write_settings(const std::string& name,
+                               const std::string& bounds = "graceS = 8") const
     {
-        const auto path = (m_folder / (name + ".toml")).string();
-        std::ofstream(path)
+        auto path = (m_folder / (name + ".toml")).string();
+        const auto next = path + ".next";
+        std::ofstream(next)
             << "nodeName = \"" << name << "\"\nzone = \"z1\"\n"
             << "ip = \"127.0.0.1\"\ninternalPortRange = [0,0]\n"
             << "[listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
             << "[platform]\naddress = \"127.0.0.1:" << m_store->port()
-            << "\"\n[bounds]\ngraceS = 8\n";
+            << "\"\n[bounds]\n"
+            << bounds << "\n";
+        fs::rename(next, path);
+        return path;
+    }
+
+    void start_host(const std::string& name,
+                    const std::string& bounds = "graceS = 8")
+    {
+        const auto path = write_settings(name, bounds);
         m_hosts[name] = std::make_unique<process>(
             std::vector<std::string>{build() + "/rhubarbgrade_node", path},
             log(name));
@@ -222,6 +234,13 @@
         return found;
     }
 
+    /// What a process has written to its standard output and error.
+    std::string written(const std::string& name) const
+    {
+        std::ifstream in(log(name));
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
     fs::path record() const
     {
         return m_folder / "runs.json";
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -81,6 +81,50 @@
     CHECK(site.runs("/read/x").size() == 1);
 }
 
+TEST_CASE("changed settings are taken over while running", "[node]")
+{
+    const std::string no_retries =
+        "graceS = 8\nretryBudgetRatio = 0\nretryBudgetSlack = 0";
+    installation site;
+    site.add_replica("i-1", "desk");
+    site.add_replica("i-2", "desk");
+    site.start_host("h1", no_retries);
+    site.replica_fault("i-1", {{"lose_answer", true}});
+    site.replica_fault("i-2", {{"lose_answer", true}});
+    CHECK(site.call("h1", "/read/before")->status == 502);
+    CHECK(site.runs("/read/before").size() == 1);
+    int calls = 0;
+    const auto retries_begin = [&]
+    {
+        const auto path = "/read/" + std::to_string(++calls);
+        return site.call("h1", path)->status == 502 &&
+               site.runs(path).size() == 2;
+    };
+    SECTION("after a signal")
+    {
+        site.write_settings("h1");
+        site.host("h1").signal(SIGHUP);
+        CHECK(until(retries_begin));
+    }
+    SECTION("without one")
+    {
+        site.write_settings("h1");
+        CHECK(until(retries_begin));
+    }
+    SECTION("faulty ones change nothing and are logged")
+    {
+        site.write_settings("h1", "drainMs = \"soon\"");
+        site.host("h1").signal(SIGHUP);
+        CHECK(until(
+            [&]
+            {
+                return site.written("h1").find("bounds.drainMs") !=
+                       std::string::npos;
+            }));
+        CHECK_FALSE(retries_begin());
+    }
+}
+
 TEST_CASE("only what may be repeated is sent again", "[node]")
 {
     installation site;
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <fstream>
 #include <sstream>
 #include <stdexcept>
 
@@ -39,9 +40,31 @@
     ::close(pipe[1]);
     if (failed == 0)
         read_ports(pipe[0]);
-    ::close(pipe[0]);
     if (failed != 0 || m_ports.count("listening") == 0)
+    {
+        ::close(pipe[0]);
         throw std::runtime_error("did not start: " + command[0]);
+    }
+    m_reader = std::thread(
+        [from = pipe[0], log]
+        {
+            keep_output(from, log);
+        });
+}
+
+/// Adds what the process goes on to print to its log, until it ends.
+void process::keep_output(int from, const std::string& log)
+{
+    std::ofstream out(log, std::ios::app);
+    std::array<char, 4096> buffer{};
+    for (;;)
+    {
+        const auto count = ::read(from, buffer.data(), buffer.size());
+        if (count <= 0)
+            break;
+        out.write(buffer.data(), count).flush();
+    }
+    ::close(from);
 }
 
 void process::read_ports(int from)
@@ -69,10 +92,13 @@
 
 process::~process()
 {
-    if (m_pid <= 0 || m_exit >= 0)
-        return;
-    signal(SIGCONT);
-    kill();
+    if (m_pid > 0 && m_exit < 0)
+    {
+        signal(SIGCONT);
+        kill();
+    }
+    if (m_reader.joinable())
+        m_reader.join();
 }
 
 int process::port(const std::string& name) const
--- a/tests/integration/process.hpp
+++ b/tests/integration/process.hpp
@@ -4,6 +4,7 @@
 
 #include <map>    // map
 #include <string> // string
+#include <thread> // thread
 #include <vector> // vector
 
 namespace harness
@@ -38,9 +39,11 @@
 
 private:
     void read_ports(int from);
+    static void keep_output(int from, const std::string& log);
 
     pid_t m_pid = -1;
     int m_exit = -1;
+    std::thread m_reader;
     std::map<std::string, int> m_ports;
 };
 
