--- a/include/rhubarbgrade/detail/escrow/witness.hpp
+++ b/include/rhubarbgrade/detail/escrow/witness.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <compare> // strong_ordering
-#include <map>     // map
-#include <set>     // set
-#include <string>  // string
+#include <map>    // map
+#include <set>    // set
+#include <string> // string
+#include <tuple>  // tie
 
 #include <rhubarbgrade/detail/base/types.hpp> // token_count_t
 
@@ -24,7 +24,13 @@
         return host.empty();
     }
 
-    auto operator<=>(const process_id&) const = default;
+    bool operator==(const process_id&) const = default;
+
+    bool operator<(const process_id& other) const
+    {
+        return std::tie(host, incarnation) <
+               std::tie(other.host, other.incarnation);
+    }
 };
 
 /// @brief What a host asks its witness to remember, and the answer to it.
