--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -1,8 +1,7 @@
 #include "escrow_keeper.hpp"
 
-#include <algorithm> // all_of, max, min
+#include <algorithm> // max, min
 #include <chrono>    // duration
-#include <limits>    // numeric_limits
 #include <string>    // string
 #include <utility>   // move
 
@@ -45,10 +44,6 @@
 /// from an older state: what is left of each budget sizes the holdings.
 constexpr milliseconds book_age{2000};
 
-/// A new process takes a witness of its own zone only for so long, while the
-/// hosts of a fleet that starts are still becoming known.
-constexpr milliseconds own_zone_first{3000};
-
 /// Shortest span over which the use of all hosts is measured, and the weight
 /// of a new measurement; hosts report their use every few seconds.
 constexpr std::chrono::duration<double> rate_span{2.0};
@@ -119,89 +114,6 @@
            mine->second.incarnation == m_identity.process.incarnation;
 }
 
-process_id escrow_keeper::registered() const
-{
-    return adopted()
-               ? m_book.hosts.find(m_identity.process.host)->second.witness
-               : process_id();
-}
-
-/// The least that any process has confirmed which is, or may be, the witness.
-token_count_t escrow_keeper::limit_of(const std::string& customer) const
-{
-    auto limit = std::numeric_limits<token_count_t>::max();
-    const auto lower = [&](const process_id& witness)
-    {
-        if (!witness.none())
-            limit = std::min(limit, confirmed_ceiling(m_witnesses.bond(),
-                                                      witness, customer));
-    };
-    lower(registered());
-    if (m_pending)
-        lower(m_pending->witness);
-    if (m_limited)
-        lower(m_candidate);
-    return limit;
-}
-
-void escrow_keeper::drop_candidate()
-{
-    m_candidate = {};
-    m_limited = false;
-}
-
-/// Finds a witness for a host that has none, and another one for a silent one.
-void escrow_keeper::look_after_witness()
-{
-    if (!adopted() || m_pending)
-        return;
-    const auto now = time_point_t::clock::now();
-    const auto current = registered();
-    const bool wanting = current.none() || m_witnesses.silent(current);
-    if (!m_candidate.none() &&
-        (!wanting || m_candidate == current || m_witnesses.silent(m_candidate)))
-        drop_candidate();
-    if (wanting && m_candidate.none())
-        m_candidate = m_witnesses.choose(m_book, current,
-                                         !current.none() || now - m_adopted_at >
-                                                                own_zone_first);
-    std::vector<process_id> asked;
-    for (const auto& each : {current, m_candidate})
-        if (!each.none())
-            asked.push_back(each);
-    m_witnesses.set_asked(std::move(asked));
-    // What is in use must not outgrow the first ceilings while they are being
-    // registered: the limit holds from before that, and its news come back.
-    if (current.none() && !m_candidate.none() && !m_limited &&
-        unconfirmed(m_witnesses.bond(), m_candidate).empty())
-    {
-        m_limited = true;
-        ++m_round;
-        tell();
-    }
-}
-
-/// Whether the candidate may be registered now.
-bool escrow_keeper::candidate_ready() const
-{
-    if (m_candidate.none() || m_pending)
-        return false;
-    const auto& bond = m_witnesses.bond();
-    if (!registered().none())
-        return covers(bond, m_candidate, registered());
-    if (!m_limited)
-        return false;
-    return std::all_of(m_states.begin(), m_states.end(),
-                       [&](const auto& item)
-                       {
-                           const auto& state = item.second;
-                           return state.round >= m_round &&
-                                  state.used + state.reserved <=
-                                      confirmed_ceiling(bond, m_candidate,
-                                                        item.first);
-                       });
-}
-
 void escrow_keeper::tell()
 {
     budget_news_t news;
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -490,6 +490,14 @@
     CHECK(spent <= prepaid);
 }
 
+int fleet::starts(const std::string& engine) const
+{
+    int count = 0;
+    for (const auto& event : record("engine.rec"))
+        count += event["event"] == "start" && event["engine"] == engine;
+    return count;
+}
+
 std::string fleet::log(const std::string& host) const
 {
     std::ifstream in(path(host + ".log"));
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -113,6 +113,9 @@
     /// The events of a stand-in's record.
     std::vector<nlohmann::json> record(const std::string& name) const;
 
+    /// Starts of runs at an engine.
+    int starts(const std::string& engine) const;
+
     std::string log(const std::string& host) const;
     int platform_port() const;
     std::string write_objects(long prepaid, const std::string& more);
--- a/tests/integration/integration-operations.cpp
+++ b/tests/integration/integration-operations.cpp
@@ -49,15 +49,6 @@
     return wanted;
 }
 
-/// Starts of runs at an engine.
-int starts(fleet& all, const std::string& engine)
-{
-    int count = 0;
-    for (const auto& event : all.record("engine.rec"))
-        count += event["event"] == "start" && event["engine"] == engine;
-    return count;
-}
-
 } // namespace
 
 TEST_CASE("a move")
@@ -89,7 +80,7 @@
                 return taken_back("a2");
             },
             5000));
-        const auto refused = sent - starts(all, "e1");
+        const auto refused = sent - all.starts("e1");
         CHECK(refused <= 0.05 * sent + 1);
         all.router("a1").kill();
         all.start_router("a1");
@@ -133,13 +124,13 @@
         for (auto& caller : callers)
             caller.join();
         CHECK(failed == 0);
-        const int before = starts(all, "e1");
+        const int before = all.starts("e1");
         CHECK(until(
             [&]
             {
                 return all.chat("a1", 3).status == 200;
             }));
-        CHECK(starts(all, "e1") == before);
+        CHECK(all.starts("e1") == before);
     }
 }
 
@@ -157,9 +148,9 @@
     CHECK(until(
         [&]
         {
-            return starts(all, "e1") + starts(all, "e2") == 1;
+            return all.starts("e1") + all.starts("e2") == 1;
         }));
-    const std::string leaving = starts(all, "e1") == 1 ? "e1" : "e2";
+    const std::string leaving = all.starts("e1") == 1 ? "e1" : "e2";
     all.engine_fault(leaving, {{"draining", true}});
     const auto since = std::chrono::steady_clock::now();
     until(
@@ -168,10 +159,10 @@
             return std::chrono::steady_clock::now() - since >
                    std::chrono::seconds(3);
         });
-    const int before = starts(all, leaving);
+    const int before = all.starts(leaving);
     for (int count = 0; count < 20; ++count)
         CHECK(all.chat(count % 2 == 0 ? "a1" : "a2", 3).whole);
-    CHECK(starts(all, leaving) == before);
+    CHECK(all.starts(leaving) == before);
     caller.join();
     CHECK(open.whole);
 }
--- a/tests/integration/integration-refusals.cpp
+++ b/tests/integration/integration-refusals.cpp
@@ -18,20 +18,6 @@
 using harness::plan;
 using harness::until;
 
-namespace
-{
-
-/// Starts of runs at an engine.
-int starts(fleet& all, const std::string& engine)
-{
-    int count = 0;
-    for (const auto& event : all.record("engine.rec"))
-        count += event["event"] == "start" && event["engine"] == engine;
-    return count;
-}
-
-} // namespace
-
 TEST_CASE("a call is refused as not run when every endpoint leaves, also those "
           "of other zones, and may then run under the same key")
 {
@@ -141,7 +127,7 @@
     CHECK(until(
         [&]
         {
-            return starts(all, "e1") == readers;
+            return all.starts("e1") == readers;
         }));
     CHECK(until(
         [&]
