Log the calls on the escrow account and the causes of refusals

The logs could not tell whether a draw was refused, lost or never sent, nor why a request was refused. Every 5 s a host now logs its reads, writes, conflicts and failures on the account with the time of a write (event=escrow_calls), and its requests with the refusals by cause (event=traffic). The result of a reservation names the cause of a shortage; the tests of the wallet check that cause now, where they checked 'unavailable' before. No logic changes.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -89,6 +89,28 @@
     return head.answer_tokens_limit;
 }
 
+/// Counts the cause of a refusal for want of tokens.
+void count_shortage(traffic_counters& counters, reserve_result outcome)
+{
+    switch (outcome)
+    {
+    case reserve_result::reserved:
+        break;
+    case reserve_result::exhausted:
+        ++counters.exhausted;
+        break;
+    case reserve_result::undrawn:
+        ++counters.undrawn;
+        break;
+    case reserve_result::unconfirmed:
+        ++counters.unconfirmed;
+        break;
+    case reserve_result::no_draws:
+        ++counters.no_draws;
+        break;
+    }
+}
+
 } // namespace
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_session> session,
@@ -201,6 +223,7 @@
     }
     if (m_disconnected)
         co_return false;
+    count_shortage(m_context.counters, outcome);
     if (outcome == reserve_result::exhausted)
         co_await refuse({payment_required, "the budget is used up", {}});
     else
@@ -399,8 +422,11 @@
                             "the request may have run",
                             {}};
     if (!m_may_have_run)
+    {
+        ++m_context.counters.no_endpoint;
         response = {unavailable, "no endpoint can take the request now",
                     random_retry_after()};
+    }
     co_return co_await refuse(response);
 }
 
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -42,6 +42,12 @@
     std::uint64_t failed = 0;
     std::uint64_t retried = 0;
     std::uint64_t disconnected = 0; ///< by the caller, before the end
+    // Refusals by cause.
+    std::uint64_t exhausted = 0;   ///< the budget is used up
+    std::uint64_t undrawn = 0;     ///< the holding is too small
+    std::uint64_t unconfirmed = 0; ///< the witness has not confirmed enough
+    std::uint64_t no_draws = 0;    ///< the store takes no draws at present
+    std::uint64_t no_endpoint = 0; ///< no endpoint has a free slot
 };
 
 /// @brief State shared by all sessions; used by the traffic thread only.
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/empty_body.hpp> // empty_body
 #include <boost/beast/http/read.hpp>       // async_read
 #include <boost/beast/http/write.hpp>      // async_write
+#include <spdlog/spdlog.h>                 // info
 
 #include "../store/socket_options.hpp" // set_tcp_options, to_endpoint
 #include "../store/spawn.hpp"          // spawn
@@ -33,6 +34,9 @@
 /// Interval of the reports of wallets and samples to control.
 constexpr milliseconds report_interval{250};
 
+/// Interval at which the counters are logged.
+constexpr milliseconds log_interval{5000};
+
 /// Time for which connections are still accepted after the stop signal. The
 /// load balancer stops sending them after two failed readiness checks, a second
 /// apart.
@@ -192,13 +196,31 @@
     }
 }
 
+void traffic_loop::log_counters() const
+{
+    const auto& counters = m_context.counters;
+    spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
+                 "retried={} disconnected={} exhausted={} undrawn={} "
+                 "unconfirmed={} no_draws={} no_endpoint={} in_flight={}",
+                 counters.requests, counters.answered, counters.refused,
+                 counters.failed, counters.retried, counters.disconnected,
+                 counters.exhausted, counters.undrawn, counters.unconfirmed,
+                 counters.no_draws, counters.no_endpoint, m_context.in_flight);
+}
+
 asio::awaitable<void> traffic_loop::report_periodically()
 {
     asio::steady_timer timer(m_loop);
+    auto next_log = time_point_t::clock::now() + log_interval;
     for (;;)
     {
         timer.expires_after(report_interval);
         co_await timer.async_wait(as_values);
+        if (const auto now = time_point_t::clock::now(); now >= next_log)
+        {
+            next_log = now + log_interval;
+            log_counters();
+        }
         m_context.directory.close_idle_connections(time_point_t::clock::now());
         send_wallet_states();
         if (!m_samples.empty())
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -84,6 +84,7 @@
     void listen(tcp_t::acceptor& acceptor_socket,
                 const socket_address& address);
     void send_wallet_states();
+    void log_counters() const;
     bool ready() const;
 
     boost::asio::io_context& m_loop;
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -26,6 +26,13 @@
     return state.reserved + state.used + max_tokens <= state.drawn;
 }
 
+reserve_result cause_of_shortage(const budget_status& budget)
+{
+    if (budget.can_extend)
+        return reserve_result::unconfirmed;
+    return budget.can_draw ? reserve_result::undrawn : reserve_result::no_draws;
+}
+
 } // namespace
 
 wallet_table::wallet_table(asio::any_io_executor executor,
@@ -62,7 +69,7 @@
             !account.budget_known || account.budget.can_extend ||
             (account.budget.undrawn != 0 && account.budget.can_draw);
         if (now >= until || !refill_possible)
-            co_return reserve_result::unavailable;
+            co_return cause_of_shortage(account.budget);
         account.state.waiting += max_tokens;
         m_on_tokens_needed();
         // All waiting requests share update_timer; an update of the budget
--- a/src/gateway/wallet_table.hpp
+++ b/src/gateway/wallet_table.hpp
@@ -34,7 +34,9 @@
 {
     reserved,
     exhausted,   ///< the rest of the budget is certainly too small
-    unavailable, ///< this host could not obtain enough tokens in time
+    undrawn,     ///< this host could not draw enough tokens in time
+    unconfirmed, ///< its witness did not confirm enough tokens in time
+    no_draws,    ///< the holding is too small and the store takes no draws
 };
 
 /// @brief The wallets of this host: for each customer, the tokens that the host
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -187,6 +187,7 @@
         return;
     }
     m_book = std::move(*book);
+    m_account_bytes = body.size();
     m_revision = object->revision;
     m_stale = false;
     m_read_at = time_point_t::clock::now();
@@ -213,6 +214,7 @@
         platform::object_target(book_kind, book_name, stale_allowed), {},
         call_timeout);
     m_read_at = time_point_t::clock::now();
+    ++m_calls.reads;
     record_call(answer.is(200) || answer.is(404));
     if (answer.is(200))
         apply_object(answer.body);
@@ -250,10 +252,17 @@
     m_pending = pending_write{revision, holding.drawn, holding.witness};
     auto body =
         platform::spec_body(book_name, revision, encode_escrow_book(new_book));
+    const auto started = time_point_t::clock::now();
     const auto answer =
         co_await m_store.call(call_purpose::budget, verb::put,
                               platform::object_target(book_kind, book_name),
                               std::move(body), call_timeout);
+    constexpr double ms_per_second = 1000;
+    const std::chrono::duration<double> elapsed =
+        time_point_t::clock::now() - started;
+    m_calls.write_ms(elapsed.count() * ms_per_second);
+    m_calls.writes += answer.is(200) ? 1 : 0;
+    m_calls.conflicts += answer.is(409) ? 1 : 0;
     record_call(answer.is(200) || answer.is(409));
     if (answer.is(200) || answer.is(409))
     {
@@ -375,12 +384,27 @@
 void escrow_keeper::record_call(bool answered)
 {
     const bool could_draw = m_consecutive_failures < failures_to_stop_waiting;
+    m_calls.failures += answered ? 0 : 1;
     m_consecutive_failures = answered ? 0 : m_consecutive_failures + 1;
     if (could_draw != (m_consecutive_failures < failures_to_stop_waiting) &&
         owns_holding())
         publish_budgets();
 }
 
+void escrow_keeper::log_calls()
+{
+    namespace acc = boost::accumulators;
+    const bool any_write = acc::count(m_calls.write_ms) != 0;
+    spdlog::info("event=escrow_calls reads={} writes={} conflicts={} "
+                 "failures={} write_ms_mean={:.1f} write_ms_max={:.1f} "
+                 "account_bytes={} hosts={} revision={} witness={}",
+                 m_calls.reads, m_calls.writes, m_calls.conflicts,
+                 m_calls.failures, any_write ? acc::mean(m_calls.write_ms) : 0,
+                 any_write ? acc::max(m_calls.write_ms) : 0, m_account_bytes,
+                 m_book.hosts.size(), m_revision, registered_witness().host);
+    m_calls = {};
+}
+
 asio::awaitable<void> escrow_keeper::run()
 {
     m_running = true;
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -1,14 +1,19 @@
 #pragma once
 
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
 #include <optional>   // optional
 #include <string>     // string
 
-#include <boost/asio/any_io_executor.hpp> // any_io_executor
-#include <boost/asio/awaitable.hpp>       // awaitable
-#include <boost/asio/steady_timer.hpp>    // steady_timer
+#include <boost/accumulators/accumulators.hpp>     // accumulator_set
+#include <boost/accumulators/statistics/max.hpp>   // max
+#include <boost/accumulators/statistics/mean.hpp>  // mean
+#include <boost/accumulators/statistics/stats.hpp> // stats
+#include <boost/asio/any_io_executor.hpp>          // any_io_executor
+#include <boost/asio/awaitable.hpp>                // awaitable
+#include <boost/asio/steady_timer.hpp>             // steady_timer
 
 #include <rhubarbgrade/detail/escrow/escrow.hpp> // escrow_book, token_map_t
 
@@ -70,6 +75,10 @@
     /// @brief A witness has confirmed a higher spending ceiling.
     void on_ceiling_confirmed();
 
+    /// @brief Logs the calls on the account since the last call of this
+    ///        function, and starts to count anew.
+    void log_calls();
+
     /// @brief Adjusts the holdings to the usage until @ref close is called.
     boost::asio::awaitable<void> run();
 
@@ -85,6 +94,19 @@
         failed,   ///< no response or an error; see m_pending
     };
 
+    /// Calls on the account, for the log.
+    struct call_statistics
+    {
+        std::uint64_t reads = 0;
+        std::uint64_t writes = 0;    ///< applied
+        std::uint64_t conflicts = 0; ///< refused: the revision had changed
+        std::uint64_t failures = 0;  ///< reads and writes
+        boost::accumulators::accumulator_set<
+            double, boost::accumulators::stats<boost::accumulators::tag::mean,
+                                               boost::accumulators::tag::max>>
+            write_ms;
+    };
+
     /// A write that has no response yet and may still be applied.
     struct pending_write
     {
@@ -144,7 +166,9 @@
     };
 
     std::map<std::string, fleet_usage, std::less<>> m_fleet_usage;
-    bool m_failing = false; ///< the retry delay must not be cut short
+    call_statistics m_calls;
+    std::size_t m_account_bytes = 0; ///< as last read
+    bool m_failing = false;          ///< the retry delay must not be cut short
     int m_consecutive_failures = 0;
     bool m_running = false;
     bool m_closing = false;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -27,6 +27,9 @@
 /// checked; a fifth of the shortest time bound that they have to keep.
 constexpr milliseconds tick_period{200};
 
+/// Interval at which the calls on the escrow account are logged.
+constexpr milliseconds log_interval{5000};
+
 /// Age of the store's last response up to which this host does not ask peers
 /// for state. A watch returns at least every 2 s.
 constexpr milliseconds max_answer_age{2600};
@@ -408,11 +411,17 @@
 {
     asio::steady_timer timer(m_loop);
     auto splits = m_moves.splits();
+    auto next_log = time_point_t::clock::now() + log_interval;
     for (;;)
     {
         timer.expires_after(tick_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         const auto now = time_point_t::clock::now();
+        if (now >= next_log)
+        {
+            next_log = now + log_interval;
+            m_escrow.log_calls();
+        }
         m_moves.tick(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
--- a/tests/unit/unit-wallet.cpp
+++ b/tests/unit/unit-wallet.cpp
@@ -57,7 +57,7 @@
     wallet_fixture host;
     host.set_budget(100, 500);
     CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::reserved);
-    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::unavailable);
+    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::undrawn);
     host.wallets.settle("clerks", 60, 10);
     CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::reserved);
     const auto state =
@@ -84,7 +84,7 @@
     wallet_fixture host;
     host.wallets.update({{"clerks", {10, 500, 0, 1000, false}}});
     CHECK(*host.reserve(60, std::chrono::seconds(60)) ==
-          reserve_result::unavailable);
+          reserve_result::no_draws);
 }
 
 TEST_CASE("exhausted is reported only if the tokens are certainly spent",
@@ -93,7 +93,7 @@
     wallet_fixture host;
     host.set_budget(10, 0, 500);
     CHECK(*host.reserve(60, std::chrono::seconds(60)) ==
-          reserve_result::unavailable);
+          reserve_result::undrawn);
     host.set_budget(10, 0, 950);
     CHECK(*host.reserve(60, std::chrono::seconds(60)) ==
           reserve_result::exhausted);
@@ -105,7 +105,7 @@
     host.set_budget(100, 0);
     REQUIRE(*host.reserve(60, milliseconds(0)) == reserve_result::reserved);
     CHECK(host.wallets.lower({{"clerks", 20}})["clerks"] == 60);
-    CHECK(*host.reserve(1, milliseconds(0)) == reserve_result::unavailable);
+    CHECK(*host.reserve(1, milliseconds(0)) == reserve_result::undrawn);
 }
 
 TEST_CASE("a frozen wallet spends nothing more, whatever update comes",
@@ -116,7 +116,7 @@
     REQUIRE(*host.reserve(30, milliseconds(0)) == reserve_result::reserved);
     host.wallets.freeze();
     host.set_budget(100, 0);
-    CHECK(*host.reserve(1, milliseconds(0)) == reserve_result::unavailable);
+    CHECK(*host.reserve(1, milliseconds(0)) == reserve_result::undrawn);
     CHECK(host.wallets.states(time_point_t::clock::now())["clerks"].drawn ==
           30);
 }
