--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -30,7 +30,8 @@
 class installation
 {
 public:
-    installation()
+    /// @param[in] overrides  replace members of the first configuration
+    explicit installation(const json& overrides = json::object())
     {
         m_folder = fs::temp_directory_path() /
                    ("rhubarbgrade-node-" + std::to_string(::getpid()) + "-" +
@@ -39,7 +40,7 @@
         m_store = std::make_unique<process>(
             std::vector<std::string>{build_folder() + "/tests/standin_store"},
             log_path("store"));
-        publish_configuration(1, {});
+        publish_configuration(1, overrides);
     }
 
     ~installation()
@@ -65,6 +66,14 @@
         REQUIRE(store_client().Put("/fault", fault.dump(), "application/json"));
     }
 
+    /// Writes of objects of a kind so far: {applied, refused}.
+    json store_calls(const std::string& kind) const
+    {
+        const auto answer = store_client().Get("/calls");
+        REQUIRE(answer);
+        return json::parse(answer->body).at(kind);
+    }
+
     /// Creates or replaces an object.
     void upsert_object(const std::string& kind, const std::string& name,
                        const json& spec) const
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -2,6 +2,8 @@
 // writes, paged lists, watches, and faults that tests inject.
 //
 //   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, compact}
+//   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
+//               refused: for an outdated revision
 //
 // Faults do not apply to calls with the header X-Operator; "compact" drops the
 // history that watches read from.
@@ -39,6 +41,12 @@
     bool removed = false;
 };
 
+struct write_count
+{
+    int applied = 0;
+    int refused = 0; ///< for an outdated revision
+};
+
 struct faults
 {
     int refuse = 0;       ///< status that all calls fail with, 0: none
@@ -120,7 +128,11 @@
         const auto meta = body.value("metadata", json::object());
         if (!create && meta.contains("revision") &&
             meta["revision"] != object["metadata"]["revision"])
+        {
+            ++m_calls[kind].refused;
             return 409;
+        }
+        ++m_calls[kind].applied;
         const auto previous = object[section];
         object[section] = body.value(section, json());
         if (!create && object[section] == previous)
@@ -135,6 +147,16 @@
         return create ? 201 : 200;
     }
 
+    json calls()
+    {
+        const std::lock_guard lock(m_mutex);
+        auto all = json::object();
+        for (const auto& [kind, count] : m_calls)
+            all[kind] = {{"applied", count.applied},
+                         {"refused", count.refused}};
+        return all;
+    }
+
     bool remove(const std::string& kind, const std::string& name)
     {
         const std::lock_guard lock(m_mutex);
@@ -162,6 +184,7 @@
     std::uint64_t m_compacted_revision = 0;
     std::map<std::string, std::map<std::string, json>> m_kinds;
     std::deque<change> m_history;
+    std::map<std::string, write_count> m_calls; ///< by kind
 };
 
 class api_server
@@ -184,6 +207,11 @@
                      {
                          set_faults(json::parse(request.body));
                      });
+        m_server.Get("/calls",
+                     [this](const auto&, auto& response)
+                     {
+                         send_json(response, 200, m_store.calls());
+                     });
         m_server.Get(R"(/api/objects/([^/]+))",
                      [this](const auto& request, auto& response)
                      {
