--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -22,6 +22,10 @@
     process_id witness;      ///< confirms its spending ceilings; may be none
     token_map_t drawn;       ///< total drawn by this incarnation
     token_map_t used;        ///< spent, as last reported by the host
+    /// Sequence number of the incarnation's last change; see account_change.
+    std::uint64_t sequence = 0;
+    /// Cores times Mbit/s of the host; hosts with more write for the others.
+    double capacity = 0;
 };
 
 /// @brief The holding of an incarnation that has ended.
@@ -48,6 +52,19 @@
     std::vector<ended_holding> ended; ///< not closed yet
 };
 
+/// @brief Tokens of one budget in the whole account.
+struct budget_total
+{
+    token_count_t drawn = 0; ///< by all hosts, closed holdings included
+    token_count_t used = 0;  ///< reported as spent; see known_used
+};
+
+/// @brief Totals by customer.
+using budget_totals_t = std::map<std::string, budget_total, std::less<>>;
+
+/// @brief The totals of all budgets in the account.
+budget_totals_t totals_of(const escrow_book& book);
+
 /// @brief Tokens of a budget that no host has drawn.
 /// @param[in] prepaid  the whole budget
 /// @note Complexity: linear in the number of hosts and of ended holdings.
@@ -77,6 +94,19 @@
 bool close_ended(escrow_book& book, const process_id& self,
                  witness_record& memory);
 
+/// @brief Returns the ceilings that @a self, as witness, confirmed to owners
+///        that have ended; they get no further confirmations.
+std::map<process_id, token_map_t> ceilings_of_ended(const escrow_book& book,
+                                                    const process_id& self,
+                                                    witness_record& memory);
+
+/// @brief Closes the ended holdings that @a self is the witness of and has
+///        ceilings for, and those whose witness has ended as well.
+/// @param[in] ceilings  as of @ref ceilings_of_ended
+/// @return whether the book changed
+bool close_ended(escrow_book& book, const process_id& self,
+                 const std::map<process_id, token_map_t>& ceilings);
+
 /// @brief A host's tokens of one customer's budget, and the demand for them.
 struct wallet_state
 {
@@ -141,6 +171,14 @@
                  const escrow_policy& policy, double draw_below,
                  const token_map_t& skipped, token_map_t& excess);
 
+/// @brief As above, for a host that knows its holding and the totals.
+/// @param[in,out] drawn   the host's holding by customer
+/// @param[in,out] totals  of the account
+bool draw_tokens(token_map_t& drawn, budget_totals_t& totals,
+                 const token_map_t& budgets, const wallet_states_t& states,
+                 const escrow_policy& policy, double draw_below,
+                 const token_map_t& skipped, token_map_t& excess);
+
 /// @brief Whether the reported use alone leaves too few tokens for a request,
 ///        however the remaining tokens are spread over the hosts.
 /// @param[in] bound  upper bound of the request's cost
--- a/include/rhubarbgrade/detail/fleet/node_settings.hpp
+++ b/include/rhubarbgrade/detail/fleet/node_settings.hpp
@@ -46,6 +46,8 @@
     socket_address store;     ///< address of the shared store
     std::size_t memory_mb = 256;    ///< memory limit
     std::size_t descriptors = 1024; ///< limit of open file descriptors
+    double processor_cores = 1;     ///< cores that the host may use
+    double link_mbps = 1000;        ///< bandwidth of the host's link, Mbit/s
     node_bounds bounds;
 
     bool operator==(const node_settings&) const = default;
--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -55,6 +55,25 @@
 
 } // namespace
 
+budget_totals_t totals_of(const escrow_book& book)
+{
+    budget_totals_t totals;
+    const auto add =
+        [&totals](const token_map_t& drawn, const token_map_t& used)
+    {
+        for (const auto& [customer, tokens] : drawn)
+            totals[customer].drawn += tokens;
+        for (const auto& [customer, tokens] : used)
+            totals[customer].used += tokens;
+    };
+    add(book.closed, book.closed_used);
+    for (const auto& [host, holding] : book.hosts)
+        add(holding.drawn, holding.used);
+    for (const auto& each : book.ended)
+        add(each.drawn, each.used);
+    return totals;
+}
+
 token_count_t undrawn(const escrow_book& book, std::string_view customer,
                       token_count_t prepaid)
 {
@@ -97,14 +116,28 @@
     return true;
 }
 
+std::map<process_id, token_map_t> ceilings_of_ended(const escrow_book& book,
+                                                    const process_id& self,
+                                                    witness_record& memory)
+{
+    std::map<process_id, token_map_t> ceilings;
+    for (const auto& each : book.ended)
+        if (each.witness == self)
+            ceilings[each.owner] = close_owner(memory, each.owner);
+    return ceilings;
+}
+
 bool close_ended(escrow_book& book, const process_id& self,
-                 witness_record& memory)
+                 const std::map<process_id, token_map_t>& ceilings)
 {
     const auto closable = [&](const ended_holding& each)
     {
         if (each.witness == self)
         {
-            close(book, each, close_owner(memory, each.owner));
+            const auto confirmed = ceilings.find(each.owner);
+            if (confirmed == ceilings.end())
+                return false;
+            close(book, each, confirmed->second);
             return true;
         }
         const auto witness_host = book.hosts.find(each.witness.host);
@@ -117,6 +150,12 @@
     return std::erase_if(book.ended, closable) > 0;
 }
 
+bool close_ended(escrow_book& book, const process_id& self,
+                 witness_record& memory)
+{
+    return close_ended(book, self, ceilings_of_ended(book, self, memory));
+}
+
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy)
 {
@@ -163,25 +202,26 @@
     return state.drawn;
 }
 
-bool draw_tokens(escrow_book& book, std::string_view host,
+bool draw_tokens(token_map_t& drawn, budget_totals_t& totals,
                  const token_map_t& budgets, const wallet_states_t& states,
                  const escrow_policy& policy, double draw_below,
                  const token_map_t& skipped, token_map_t& excess)
 {
     bool drawn_any = false;
-    auto& own_holding = book.hosts[std::string(host)];
     for (const auto& [customer, prepaid] : budgets)
     {
         wallet_state state;
         if (const auto known = states.find(customer); known != states.end())
             state = known->second;
-        state.drawn = tokens_of(own_holding.drawn, customer);
+        state.drawn = tokens_of(drawn, customer);
+        auto& total = totals[customer];
         const auto desired =
-            desired_holding(state, undrawn(book, customer, prepaid), prepaid,
-                            policy, draw_below);
+            desired_holding(state, saturating_subtract(prepaid, total.drawn),
+                            prepaid, policy, draw_below);
         if (desired > state.drawn && !skipped.contains(customer))
         {
-            own_holding.drawn[customer] = desired;
+            total.drawn += desired - state.drawn;
+            drawn[customer] = desired;
             drawn_any = true;
         }
         else if (desired < state.drawn)
@@ -190,6 +230,16 @@
     return drawn_any;
 }
 
+bool draw_tokens(escrow_book& book, std::string_view host,
+                 const token_map_t& budgets, const wallet_states_t& states,
+                 const escrow_policy& policy, double draw_below,
+                 const token_map_t& skipped, token_map_t& excess)
+{
+    auto totals = totals_of(book);
+    return draw_tokens(book.hosts[std::string(host)].drawn, totals, budgets,
+                       states, policy, draw_below, skipped, excess);
+}
+
 bool certainly_exhausted(const escrow_book& book, std::string_view customer,
                          token_count_t prepaid, token_count_t bound)
 {
@@ -205,7 +255,9 @@
                             {"zone", holding.zone},
                             {"witness", encode(holding.witness)},
                             {"drawn", holding.drawn},
-                            {"used", holding.used}};
+                            {"used", holding.used},
+                            {"sequence", holding.sequence},
+                            {"capacity", holding.capacity}};
     json ended = json::array();
     for (const auto& each : book.ended)
         ended.push_back({{"owner", encode(each.owner)},
@@ -235,6 +287,8 @@
         holding.witness = decode_process(each.at("witness"));
         each.at("drawn").get_to(holding.drawn);
         each.at("used").get_to(holding.used);
+        holding.sequence = each.value("sequence", std::uint64_t{0});
+        holding.capacity = each.value("capacity", 0.0);
     }
     for (const auto& each : source.at("ended"))
         book.ended.push_back({decode_process(each.at("owner")),
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -1,9 +1,10 @@
 #include "escrow_keeper.hpp"
 
-#include <algorithm> // max, min
-#include <chrono>    // duration
+#include <algorithm> // any_of, max, min
+#include <chrono>    // ceil, duration
+#include <random>    // random_device, uniform_int_distribution
 #include <string>    // string
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
@@ -39,9 +40,9 @@
 
 constexpr milliseconds retry_delay{150};
 
-/// Age at which the account is read again, since the size of the holdings
-/// depends on what is left of each budget. The call allows a stale response,
-/// which is cheaper.
+/// Age at which the account is read again: it names the hosts, and the size of
+/// the holdings depends on what is left of each budget. The call allows a stale
+/// response, which is cheaper.
 constexpr milliseconds max_book_age{2000};
 
 /// Shortest interval over which the token rate of all hosts is measured; hosts
@@ -51,6 +52,43 @@
 /// Weight of a new measurement in the smoothed rate.
 constexpr double rate_smoothing = 0.4;
 
+/// Shortest interval between two writes for changes that nobody waits for;
+/// holdings are refilled seconds before they run dry. Each write is charged
+/// for, whatever the number of changes in it.
+constexpr milliseconds write_interval{250};
+
+/// The same for changes that callers wait for: a small part of the time that
+/// their requests may wait.
+constexpr milliseconds urgent_write_interval{50};
+
+/// Interval at which an unanswered change is sent again.
+constexpr milliseconds resend_interval{100};
+
+/// Time without an answer after which a change goes to another writer. A writer
+/// answers after the write in progress and the next one.
+constexpr milliseconds answer_timeout{600};
+
+/// Time for which a writer that was silent or could not write is avoided: the
+/// contact bound, after which a fault counts as over.
+constexpr milliseconds avoid_period{3000};
+
+/// Writers that may fail a change before this host writes it by itself.
+constexpr int max_failed_writers = 3;
+
+/// Range of the random pause after a second conflict in a row; it doubles with
+/// each further one.
+constexpr milliseconds min_conflict_pause{20};
+constexpr int max_conflict_doublings = 2;
+
+/// Changes of peers that are kept until the next write; one for each process.
+constexpr std::size_t max_received = 4096;
+
+/// Customers in one change, so that it fits into a datagram.
+constexpr std::size_t max_customers = 500;
+
+/// Time for which the last change waits for another host to write it.
+constexpr milliseconds final_answer_timeout{200};
+
 token_count_t value_of(const token_map_t& tokens, std::string_view customer)
 {
     const auto found = tokens.find(customer);
@@ -66,7 +104,8 @@
       m_witnesses(witnesses),
       m_identity(std::move(identity)),
       m_listener(std::move(listener)),
-      m_wake_timer(executor)
+      m_wake_timer(executor),
+      m_started(time_point_t::clock::now())
 {
 }
 
@@ -109,11 +148,16 @@
         publish_budgets();
 }
 
+void escrow_keeper::record_heartbeat(const std::string& host, bool writable)
+{
+    auto& contact = m_contacts[host];
+    contact.heard_at = time_point_t::clock::now();
+    contact.can_write = writable;
+}
+
 bool escrow_keeper::owns_holding() const
 {
-    const auto holding = m_book.hosts.find(m_identity.process.host);
-    return holding != m_book.hosts.end() &&
-           holding->second.incarnation == m_identity.process.incarnation;
+    return rhubarbgrade::owns_holding(m_view, m_identity.process);
 }
 
 void escrow_keeper::publish_budgets()
@@ -121,16 +165,16 @@
     budget_statuses_t updates;
     for (const auto& [customer, prepaid] : m_budgets)
     {
-        const auto available = undrawn(m_book, customer, prepaid);
         // The traffic thread may already have lowered this holding, so the
         // older, higher value must not be sent to it again.
         if (m_lowering.contains(customer))
             continue;
+        const auto& total = m_view.totals[customer];
         const auto usable = value_of(m_usable, customer);
         const auto limit = confirmed_limit(customer);
         updates[customer] = {std::min(usable, limit),
-                             available,
-                             known_used(m_book, customer),
+                             prepaid - std::min(prepaid, total.drawn),
+                             total.used,
                              prepaid,
                              m_consecutive_failures < failures_to_stop_waiting,
                              limit < usable &&
@@ -149,53 +193,56 @@
         m_usable.clear();
         return;
     }
-    const auto& drawn = m_book.hosts[m_identity.process.host].drawn;
-    if (m_pending && m_pending->revision != m_revision)
-        m_pending.reset();
-    for (const auto& [customer, tokens] : drawn)
+    for (const auto& [customer, tokens] :
+         m_view.book.hosts[m_identity.process.host].drawn)
     {
-        auto confirmed = tokens;
-        if (m_pending)
-            confirmed =
-                std::min(confirmed, value_of(m_pending->drawn, customer));
+        const auto certain =
+            certain_total(m_view, m_identity.process, customer);
         // A holding that is being lowered is not raised to the higher value
         // that the account still has.
-        if (!m_lowering.contains(customer))
-            m_usable[customer] = confirmed;
-        else
-            m_usable[customer] =
-                std::min(confirmed, value_of(m_usable, customer));
+        m_usable[customer] =
+            m_lowering.contains(customer)
+                ? std::min(certain, value_of(m_usable, customer))
+                : certain;
     }
 }
 
-void escrow_keeper::apply_object(const std::string& body)
+void escrow_keeper::apply_view()
+{
+    m_policy.hosts = m_view.hosts;
+    update_fleet_rates();
+    update_usable();
+    publish_budgets();
+}
+
+bool escrow_keeper::apply_object(const std::string& body)
 {
     const auto object = platform::decode_object(body);
     if (!object)
     {
         spdlog::error("{}", object.error().message());
         m_stale = true;
-        return;
+        return false;
     }
-    if (object->revision < m_revision)
-        return;
     auto book = decode_escrow_book(object->spec);
     if (!book)
     {
         spdlog::error("{}", book.error().message());
         m_stale = true;
-        return;
+        return false;
     }
-    m_book = std::move(*book);
+    const bool had_holding = owns_holding();
+    if (!apply_read(m_view, m_identity.process, std::move(*book),
+                    object->revision))
+        return false;
+    if (!had_holding && owns_holding())
+        m_holding_since = time_point_t::clock::now();
     m_account_bytes = body.size();
-    m_revision = object->revision;
     m_stale = false;
     m_read_at = time_point_t::clock::now();
-    m_policy.hosts = m_book.hosts.size();
-    m_listener.account_read(m_book);
-    update_fleet_rates();
-    update_usable();
-    publish_budgets();
+    m_listener.account_read(m_view.book);
+    apply_view();
+    return true;
 }
 
 asio::awaitable<void> escrow_keeper::create_account()
@@ -230,7 +277,7 @@
     for (const auto& [customer, prepaid] : m_budgets)
     {
         auto& fleet = m_fleet_usage[customer];
-        const auto used = known_used(m_book, customer);
+        const auto used = m_view.totals[customer].used;
         const std::chrono::duration<double> elapsed = now - fleet.measured_at;
         if (elapsed < min_rate_interval)
             continue;
@@ -244,44 +291,6 @@
     }
 }
 
-asio::awaitable<escrow_keeper::write_outcome>
-escrow_keeper::write_account(escrow_book new_book)
-{
-    const auto revision = m_revision;
-    const auto& holding = new_book.hosts[m_identity.process.host];
-    m_pending = pending_write{revision, holding.drawn, holding.witness};
-    auto body =
-        platform::spec_body(book_name, revision, encode_escrow_book(new_book));
-    const auto started = time_point_t::clock::now();
-    const auto answer =
-        co_await m_store.call(call_purpose::budget, verb::put,
-                              platform::object_target(book_kind, book_name),
-                              std::move(body), call_timeout);
-    constexpr double ms_per_second = 1000;
-    const std::chrono::duration<double> elapsed =
-        time_point_t::clock::now() - started;
-    m_calls.write_ms(elapsed.count() * ms_per_second);
-    m_calls.writes += answer.is(200) ? 1 : 0;
-    m_calls.conflicts += answer.is(409) ? 1 : 0;
-    record_call(answer.is(200) || answer.is(409));
-    if (answer.is(200) || answer.is(409))
-    {
-        m_pending.reset();
-        apply_object(answer.body);
-        co_return answer.is(200) ? write_outcome::done
-                                 : write_outcome::conflict;
-    }
-    spdlog::warn("draw or return of tokens not confirmed: status {} {}",
-                 answer.status, answer.body);
-    // With 429 and 503 the store guarantees that the write was not applied.
-    if (answer.is(429) || answer.is(503) ||
-        answer.end == call_outcome::not_sent)
-        m_pending.reset();
-    else
-        m_stale = true;
-    co_return write_outcome::failed;
-}
-
 void escrow_keeper::request_lowering(const token_map_t& targets)
 {
     token_map_t requested;
@@ -300,88 +309,410 @@
     return states;
 }
 
-bool escrow_keeper::return_unused(escrow_book& new_book)
+account_change escrow_keeper::make_change() const
 {
-    if (m_pending)
-        return false;
-    bool lowered = false;
-    for (auto& [customer, drawn] :
-         new_book.hosts[m_identity.process.host].drawn)
+    account_change change;
+    change.owner = m_identity.process;
+    change.address = m_identity.address;
+    change.zone = m_identity.zone;
+    change.capacity = m_identity.capacity;
+    const auto holding = m_view.book.hosts.find(m_identity.process.host);
+    if (holding != m_view.book.hosts.end() && !owns_holding())
+        change.replaces = holding->second.incarnation;
+    return change;
+}
+
+/// Adds the tokens that the traffic thread has given up.
+void escrow_keeper::add_returns(account_change& change)
+{
+    const auto holding = m_view.book.hosts.find(m_identity.process.host);
+    if (m_view.pending || holding == m_view.book.hosts.end())
+        return;
+    for (const auto& [customer, drawn] : holding->second.drawn)
     {
         const auto usable = value_of(m_usable, customer);
-        if (usable >= drawn || m_lowering.contains(customer))
-            continue;
-        drawn = usable;
-        lowered = true;
+        if (usable < drawn && !m_lowering.contains(customer))
+            change.drawn[customer] = usable;
     }
-    return lowered;
 }
 
-std::optional<escrow_book> escrow_keeper::plan_write()
+/// Takes over the holding of this host. Nothing is drawn yet: how much depends
+/// on the number of hosts, which the answer tells.
+void escrow_keeper::plan_join()
+{
+    if (m_view.pending || replaced(m_view, m_identity.process))
+        return;
+    set_pending(m_view, make_change());
+    m_failed_writers = 0;
+}
+
+/// Makes a change if holdings are too small or too large, or other data of this
+/// host in the account has to change. A change that is not settled is extended
+/// only if callers wait for more.
+void escrow_keeper::plan_change()
 {
-    auto new_book = m_book;
     const auto current = states_with_fleet_rates();
-    const auto draw = [&](double threshold, token_map_t& oversized)
+    auto change = make_change();
+    for (const auto& [customer, state] : m_states)
+        change.urgent = change.urgent || state.waiting != 0;
+    if (m_view.pending && !change.urgent)
+        return;
+    const auto known = m_view.book.hosts[m_identity.process.host].drawn;
+    auto drawn = known;
+    add_returns(change);
+    bool changed = !change.drawn.empty();
+    for (const auto& [customer, tokens] : change.drawn)
+        drawn[customer] = tokens;
+    auto totals = m_view.totals;
+    if (m_view.pending)
+        for (const auto& [customer, tokens] : m_view.pending->drawn)
+        {
+            auto& total = drawn[customer];
+            totals[customer].drawn += tokens > total ? tokens - total : 0;
+            total = std::max(total, tokens);
+        }
+    token_map_t oversized;
+    const auto draw = [&](double threshold)
     {
-        return draw_tokens(new_book, m_identity.process.host, m_budgets,
-                           current, m_policy, threshold, m_lowering, oversized);
+        return draw_tokens(drawn, totals, m_budgets, current, m_policy,
+                           threshold, m_lowering, oversized);
     };
-    token_map_t oversized;
-    bool changed = adopt(new_book, m_identity.process, m_identity.address,
-                         m_identity.zone);
-    if (changed)
-        m_holding_since = time_point_t::clock::now();
-    changed = close_ended(new_book, m_identity.process,
-                          m_witnesses.confirmed_for_others()) ||
-              changed;
-    changed = return_unused(new_book) || changed;
-    if (candidate_ready())
+    changed = draw(m_policy.low_watermark) || changed;
+    if (!m_view.pending)
     {
-        spdlog::info("registering host {} as witness, previous witness: {}",
-                     m_candidate.host, registered_witness().host);
-        new_book.hosts[m_identity.process.host].witness = m_candidate;
-        changed = true;
+        change.closed = ceilings_of_ended(m_view.book, m_identity.process,
+                                          m_witnesses.confirmed_for_others());
+        changed = changed || !change.closed.empty();
+        if (candidate_ready())
+        {
+            spdlog::info("registering host {} as witness, previous witness: {}",
+                         m_candidate.host, registered_witness().host);
+            change.witness = m_candidate;
+            changed = true;
+        }
     }
-    changed = draw(m_policy.low_watermark, oversized) || changed;
     if (!changed)
     {
-        request_lowering(oversized);
-        return std::nullopt;
+        if (!m_view.pending)
+            request_lowering(oversized);
+        return;
     }
     // Each write is charged for, so this one also refills holdings that would
     // need a draw soon.
-    draw(m_policy.refill_watermark, oversized);
-    auto& holding = new_book.hosts[m_identity.process.host];
-    for (const auto& [customer, state] : current)
-        holding.used[customer] = state.used;
-    return new_book;
+    draw(m_policy.refill_watermark);
+    for (const auto& [customer, tokens] : drawn)
+        if (tokens != value_of(known, customer) &&
+            change.drawn.size() < max_customers)
+            change.drawn[customer] = tokens;
+    for (const auto& [customer, state] : m_states)
+        if (state.used != 0 && change.used.size() < max_customers)
+            change.used[customer] = state.used;
+    if (!m_view.pending)
+        m_failed_writers = 0;
+    set_pending(m_view, std::move(change));
+    update_usable();
+}
+
+std::string escrow_keeper::choose_writer_now()
+{
+    if (m_failed_writers >= max_failed_writers)
+        return m_identity.process.host;
+    return choose_writer(m_view.book, m_identity.process.host,
+                         m_identity.capacity, m_contacts, m_started,
+                         m_reachable_since, time_point_t::clock::now());
+}
+
+void escrow_keeper::avoid(const std::string& host, std::string_view reason)
+{
+    spdlog::warn("event=writer_avoided writer={} reason={} sequence={}", host,
+                 reason, m_view.pending ? m_view.pending->sequence : 0);
+    m_sent_since = {};
+    m_contacts[host].avoid_until = time_point_t::clock::now() + avoid_period;
+    ++m_failed_writers;
+    record_outcome(false);
+}
+
+/// Sends the pending change to its writer, unless that was done a moment ago.
+/// @return pause until the next step
+milliseconds escrow_keeper::send_pending(const std::string& writer)
+{
+    if (!m_view.pending)
+        return max_check_interval;
+    const auto now = time_point_t::clock::now();
+    const auto& change = *m_view.pending;
+    // A change that extends an unanswered one does not prolong its time.
+    if (writer != m_writer || m_sent_since == time_point_t{})
+    {
+        m_writer = writer;
+        m_sent_since = now;
+        m_sent_sequence = 0;
+    }
+    if (now - m_sent_since > answer_timeout)
+    {
+        avoid(writer, "silent");
+        return milliseconds(0);
+    }
+    if (m_sent_sequence == change.sequence && now - m_sent_at < resend_interval)
+        return std::chrono::ceil<milliseconds>(m_sent_at + resend_interval -
+                                               now);
+    m_sent_sequence = change.sequence;
+    m_sent_at = now;
+    ++m_calls.sent;
+    m_listener.send_change(m_view.book.hosts[writer].address, change);
+    return resend_interval;
+}
+
+void escrow_keeper::handle_change(account_change change)
+{
+    if (change.owner.none())
+        return;
+    if (m_closing || !m_store_reachable || m_received.size() >= max_received)
+    {
+        answer(change, make_answer(m_view.book, m_view.totals, change,
+                                   change_result::failed, m_view.revision));
+        return;
+    }
+    auto& received = m_received[change.owner];
+    if (received.sequence <= change.sequence)
+        received = std::move(change);
+    if (!m_failing)
+        m_wake_timer.cancel();
+}
+
+void escrow_keeper::answer(const account_change& change, account_answer reply)
+{
+    reply.writer = m_identity.process.host;
+    m_listener.send_answer(change.address, reply);
+}
+
+void escrow_keeper::answer_all(
+    const changes_t& changes, const escrow_book& book,
+    const std::map<process_id, change_result>& results)
+{
+    const auto totals = totals_of(book);
+    for (const auto& [owner, change] : changes)
+    {
+        if (owner == m_identity.process)
+            continue;
+        const auto result = results.at(owner);
+        m_calls.for_peers += result == change_result::applied ? 1 : 0;
+        answer(change,
+               make_answer(book, totals, change, result, m_view.revision));
+    }
+}
+
+void escrow_keeper::record_own_answer()
+{
+    m_failed_writers = 0;
+    m_sent_since = {};
+    record_outcome(true);
+}
+
+void escrow_keeper::handle_answer(const account_answer& reply)
+{
+    if (reply.owner != m_identity.process || !m_view.pending ||
+        reply.sequence > m_view.pending->sequence)
+        return;
+    switch (reply.result)
+    {
+    case change_result::failed:
+        if (reply.writer == m_writer && m_sent_since != time_point_t{})
+        {
+            avoid(reply.writer, "failed");
+            m_wake_timer.cancel();
+        }
+        return;
+    case change_result::refused:
+        // The account has another predecessor than the one that was read.
+        apply_refusal(m_view, m_identity.process);
+        m_stale = true;
+        break;
+    case change_result::applied:
+    case change_result::known:
+    {
+        const bool had_holding = owns_holding();
+        if (!apply_answer(m_view, m_identity.process, reply))
+            return;
+        if (!had_holding)
+            m_holding_since = time_point_t::clock::now();
+        ++m_calls.answered;
+        record_own_answer();
+        apply_view();
+        break;
+    }
+    }
+    m_wake_timer.cancel();
+}
+
+asio::awaitable<call_result> escrow_keeper::put_account(const escrow_book& book)
+{
+    auto body = platform::spec_body(book_name, m_view.revision,
+                                    encode_escrow_book(book));
+    const auto started = time_point_t::clock::now();
+    auto target = platform::object_target(book_kind, book_name);
+    auto reply =
+        co_await m_store.call(call_purpose::budget, verb::put,
+                              std::move(target), std::move(body), call_timeout);
+    constexpr double ms_per_second = 1000;
+    const std::chrono::duration<double> elapsed =
+        time_point_t::clock::now() - started;
+    m_calls.write_ms(elapsed.count() * ms_per_second);
+    // A write that was in conflict is repeated without the pause between
+    // writes.
+    if (reply.is(200))
+        m_written_at = started;
+    m_calls.writes += reply.is(200) ? 1 : 0;
+    m_calls.conflicts += reply.is(409) ? 1 : 0;
+    record_call(reply.is(200) || reply.is(409));
+    co_return reply;
+}
+
+/// Pause before a write that was in conflict is repeated: none after the first,
+/// then at random, so that hosts that write at the same time get apart.
+milliseconds escrow_keeper::conflict_pause()
+{
+    const auto doublings =
+        std::min(m_consecutive_conflicts++, max_conflict_doublings + 1) - 1;
+    if (doublings < 0)
+        return milliseconds(0);
+    std::uniform_int_distribution<milliseconds::rep> pause_ms(
+        1, min_conflict_pause.count() << doublings);
+    return milliseconds(pause_ms(m_random));
+}
+
+escrow_keeper::planned_write
+escrow_keeper::apply_all(const changes_t& changes) const
+{
+    planned_write plan{m_view.book, {}, false, false};
+    auto totals = totals_of(plan.book);
+    for (const auto& [owner, change] : changes)
+    {
+        const auto result = apply_change(plan.book, totals, m_budgets, change);
+        plan.results[owner] = result;
+        plan.changed = plan.changed || result == change_result::applied;
+        plan.any_refused = plan.any_refused || result == change_result::refused;
+    }
+    return plan;
+}
+
+/// Tells the owners of changes that this host can't write them.
+/// @return pause until the next step
+milliseconds escrow_keeper::fail_all(const changes_t& changes)
+{
+    std::map<process_id, change_result> results;
+    for (const auto& [owner, change] : changes)
+        results[owner] = change_result::failed;
+    answer_all(changes, m_view.book, results);
+    m_failing = true;
+    return retry_delay;
+}
+
+/// Writes the pending change of this host and those received from peers.
+/// @param[in] paced  whether to wait for the shortest interval between writes
+/// @return pause until the next step
+asio::awaitable<milliseconds> escrow_keeper::write_changes(bool paced)
+{
+    auto changes = std::exchange(m_received, {});
+    if (m_view.pending)
+        changes[m_identity.process] = *m_view.pending;
+    if (changes.empty())
+        co_return max_check_interval;
+    const bool urgent = std::any_of(changes.begin(), changes.end(),
+                                    [](const auto& each)
+                                    {
+                                        return each.second.urgent;
+                                    });
+    const auto due =
+        m_written_at + (urgent ? urgent_write_interval : write_interval);
+    if (const auto now = time_point_t::clock::now(); paced && now < due)
+    {
+        m_received = std::move(changes);
+        m_received.erase(m_identity.process);
+        co_return std::chrono::ceil<milliseconds>(due - now);
+    }
+    auto plan = apply_all(changes);
+    if (plan.any_refused)
+    {
+        // Only the current account can refuse a change.
+        co_await refresh(false);
+        if (!m_stale)
+            plan = apply_all(changes);
+    }
+    if (m_stale)
+        co_return fail_all(changes);
+    if (const auto own = plan.results.find(m_identity.process);
+        own != plan.results.end() && own->second == change_result::refused)
+        apply_refusal(m_view, m_identity.process);
+    if (!plan.changed)
+    {
+        answer_all(changes, m_view.book, plan.results);
+        co_return milliseconds(0);
+    }
+    const auto reply = co_await put_account(plan.book);
+    if (reply.is(200))
+    {
+        m_consecutive_conflicts = 0;
+        m_failed_writers = 0;
+        if (apply_object(reply.body))
+            answer_all(changes, m_view.book, plan.results);
+        co_return milliseconds(0);
+    }
+    if (reply.is(409))
+    {
+        // Changes that came meanwhile are newer.
+        changes.erase(m_identity.process);
+        m_received.merge(changes);
+        m_failed_writers = 0;
+        apply_object(reply.body);
+        const auto pause = conflict_pause();
+        m_failing = pause != milliseconds(0);
+        co_return pause;
+    }
+    spdlog::warn("draw or return of tokens not confirmed: status {} {}",
+                 reply.status, reply.body);
+    m_stale = true;
+    co_return fail_all(changes);
 }
 
 asio::awaitable<milliseconds> escrow_keeper::step()
 {
-    if (m_stale || m_revision == 0)
+    if (m_stale || m_view.revision == 0)
         co_await refresh(false);
     else if (time_point_t::clock::now() - m_read_at > max_book_age)
         co_await refresh(true);
-    if (m_stale || m_revision == 0 || m_budgets.empty())
-        co_return retry_delay;
-    update_witness();
-    auto new_book = plan_write();
-    if (!new_book)
-        co_return max_check_interval;
-    switch (co_await write_account(std::move(*new_book)))
+    if (m_stale || m_view.revision == 0 || m_budgets.empty())
     {
-    case write_outcome::done:
-        co_return max_check_interval;
-    case write_outcome::conflict:
-        co_return milliseconds(0);
-    case write_outcome::failed:
-        break;
+        if (!m_store_reachable)
+            co_return fail_all(std::exchange(m_received, {}));
+        m_failing = true;
+        co_return retry_delay;
     }
-    co_return retry_delay;
+    update_witness();
+    if (owns_holding())
+        plan_change();
+    else
+        plan_join();
+    const auto writer = choose_writer_now();
+    if (writer == m_identity.process.host || !m_received.empty())
+        co_return co_await write_changes(true);
+    co_return send_pending(writer);
+}
+
+bool escrow_keeper::can_write() const
+{
+    return m_store_reachable && !m_stale && !m_closing;
 }
 
 void escrow_keeper::record_call(bool answered)
+{
+    if (answered && !m_store_reachable)
+        m_reachable_since = time_point_t::clock::now();
+    m_store_reachable = answered;
+    record_outcome(answered);
+}
+
+/// Records whether draws succeed, by this host or by another writer.
+void escrow_keeper::record_outcome(bool answered)
 {
     const bool could_draw = m_consecutive_failures < failures_to_stop_waiting;
     m_calls.failures += answered ? 0 : 1;
@@ -395,13 +726,17 @@
 {
     namespace acc = boost::accumulators;
     const bool any_write = acc::count(m_calls.write_ms) != 0;
-    spdlog::info("event=escrow_calls reads={} writes={} conflicts={} "
-                 "failures={} write_ms_mean={:.1f} write_ms_max={:.1f} "
-                 "account_bytes={} hosts={} revision={} witness={}",
-                 m_calls.reads, m_calls.writes, m_calls.conflicts,
-                 m_calls.failures, any_write ? acc::mean(m_calls.write_ms) : 0,
-                 any_write ? acc::max(m_calls.write_ms) : 0, m_account_bytes,
-                 m_book.hosts.size(), m_revision, registered_witness().host);
+    spdlog::info(
+        "event=escrow_calls reads={} writes={} conflicts={} failures={} "
+        "sent={} answered={} for_peers={} write_ms_mean={:.1f} "
+        "write_ms_max={:.1f} account_bytes={} hosts={} revision={} witness={} "
+        "writer={}",
+        m_calls.reads, m_calls.writes, m_calls.conflicts, m_calls.failures,
+        m_calls.sent, m_calls.answered, m_calls.for_peers,
+        any_write ? acc::mean(m_calls.write_ms) : 0,
+        any_write ? acc::max(m_calls.write_ms) : 0, m_account_bytes,
+        m_view.book.hosts.size(), m_view.revision, registered_witness().host,
+        choose_writer_now());
     m_calls = {};
 }
 
@@ -410,10 +745,8 @@
     m_running = true;
     while (!m_closing)
     {
+        m_failing = false;
         const auto pause = co_await step();
-        m_failing = pause == retry_delay;
-        if (pause == milliseconds(0))
-            continue;
         m_wake_timer.expires_after(pause);
         co_await m_wake_timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
@@ -425,30 +758,48 @@
     m_closing = true;
     m_wake_timer.cancel();
     asio::steady_timer poll(m_wake_timer.get_executor());
+    constexpr milliseconds poll_interval{5};
     while (m_running)
     {
-        poll.expires_after(milliseconds(5));
+        poll.expires_after(poll_interval);
+        co_await poll.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    fail_all(std::exchange(m_received, {}));
+    if (!owns_holding())
+        co_return;
+    auto change = make_change();
+    change.urgent = true;
+    const auto& holding = m_view.book.hosts[m_identity.process.host];
+    for (const auto& [customer, state] : final_states)
+    {
+        change.used[customer] = state.used;
+        change.drawn[customer] = std::min(value_of(holding.drawn, customer),
+                                          state.used + state.reserved);
+    }
+    // The wallets are frozen, so an earlier change can't be spent from any
+    // more.
+    m_view.pending.reset();
+    set_pending(m_view, std::move(change));
+    const auto give_up_at = time_point_t::clock::now() + final_answer_timeout;
+    const auto writer = choose_writer_now();
+    while (writer != m_identity.process.host && m_view.pending &&
+           time_point_t::clock::now() < give_up_at)
+    {
+        send_pending(writer);
+        poll.expires_after(poll_interval);
         co_await poll.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     constexpr int max_attempts = 5;
-    for (int i = 0; i < max_attempts && owns_holding(); ++i)
+    for (int i = 0; i < max_attempts && m_view.pending && owns_holding(); ++i)
     {
         if (m_stale)
             co_await refresh(false);
-        auto new_book = m_book;
-        auto& holding = new_book.hosts[m_identity.process.host];
-        for (const auto& [customer, state] : final_states)
-        {
-            holding.used[customer] = state.used;
-            holding.drawn[customer] = std::min(
-                value_of(holding.drawn, customer), state.used + state.reserved);
-        }
-        if (co_await write_account(std::move(new_book)) == write_outcome::done)
-            co_return;
+        co_await write_changes(false);
     }
-    spdlog::warn(
-        "unused tokens of {} remain drawn: the store accepted no write",
-        m_identity.process.host);
+    if (m_view.pending)
+        spdlog::warn(
+            "unused tokens of {} remain drawn: the store accepted no write",
+            m_identity.process.host);
 }
 
 } // namespace rhubarbgrade
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-#include <cstddef>    // size_t
-#include <cstdint>    // uint64_t
-#include <functional> // function
-#include <map>        // map
-#include <optional>   // optional
-#include <string>     // string
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <map>         // map
+#include <random>      // minstd_rand
+#include <string>      // string
+#include <string_view> // string_view
 
 #include <boost/accumulators/accumulators.hpp>     // accumulator_set
 #include <boost/accumulators/statistics/max.hpp>   // max
@@ -15,7 +16,10 @@
 #include <boost/asio/awaitable.hpp>                // awaitable
 #include <boost/asio/steady_timer.hpp>             // steady_timer
 
-#include <rhubarbgrade/detail/escrow/escrow.hpp> // escrow_book, token_map_t
+#include <rhubarbgrade/detail/escrow/account_change.hpp> // account_change
+#include <rhubarbgrade/detail/escrow/account_view.hpp>   // account_view
+#include <rhubarbgrade/detail/escrow/escrow.hpp>         // escrow_book
+#include <rhubarbgrade/detail/escrow/writer_choice.hpp>  // host_contacts_t
 
 #include "../gateway/wallet_table.hpp" // budget_statuses_t, wallet_states_t
 #include "../store/http_link.hpp"      // call_result
@@ -32,6 +36,7 @@
     process_id process;
     std::string address; ///< "ip:port" where it listens for peers
     std::string zone;    ///< availability zone
+    double capacity = 0; ///< of the host; see escrow_holding
 };
 
 /// @brief Callbacks of @ref escrow_keeper; called on the control thread.
@@ -45,16 +50,22 @@
     std::function<void(token_map_t)> lower_holdings;
     /// The account has been read; it lists the hosts of the fleet.
     std::function<void(const escrow_book&)> account_read;
+    /// Sends this host's change to the peer at an "ip:port"; it may be lost.
+    std::function<void(const std::string&, const account_change&)> send_change;
+    /// Sends the answer to a peer's change to an "ip:port"; it may be lost.
+    std::function<void(const std::string&, const account_answer&)> send_answer;
 };
 
 /// @brief Draws tokens from the shared escrow account for this host and
 ///        returns those that it does not need.
 ///
 /// The account (@ref escrow_book) is one object in the store and is changed by
-/// conditional writes only. A write without a response may still be applied as
-/// long as the object has the revision that the write names; until the
-/// revision changes, both outcomes are assumed possible. All members run on
-/// the control thread.
+/// conditional writes only. If each host wrote it, most writes would fail,
+/// because another one had come first. So a host sends its change to the host
+/// that @ref choose_writer names, which applies the changes of all hosts in one
+/// write; it writes by itself if it is that host or no writer answers. A change
+/// without an answer may still be applied; until its outcome is known, both are
+/// assumed possible. All members run on the control thread.
 class escrow_keeper
 {
 public:
@@ -75,6 +86,19 @@
     /// @brief A witness has confirmed a higher spending ceiling.
     void on_ceiling_confirmed();
 
+    /// @brief Takes a peer's change, to be written with the next write.
+    void handle_change(account_change change);
+
+    /// @brief Handles the answer to this host's change.
+    void handle_answer(const account_answer& reply);
+
+    /// @brief Records a heartbeat of a host.
+    /// @param[in] writable  whether the host can write the account
+    void record_heartbeat(const std::string& host, bool writable);
+
+    /// @brief Whether this host can write the account now, as far as it knows.
+    bool can_write() const;
+
     /// @brief Logs the calls on the account since the last call of this
     ///        function, and starts to count anew.
     void log_calls();
@@ -87,12 +111,7 @@
     boost::asio::awaitable<void> close(wallet_states_t final_states);
 
 private:
-    enum class write_outcome
-    {
-        done,
-        conflict, ///< revision has changed; the newer account was read
-        failed,   ///< no response or an error; see m_pending
-    };
+    using changes_t = std::map<process_id, account_change>;
 
     /// Calls on the account, for the log.
     struct call_statistics
@@ -100,33 +119,52 @@
         std::uint64_t reads = 0;
         std::uint64_t writes = 0;    ///< applied
         std::uint64_t conflicts = 0; ///< refused: the revision had changed
-        std::uint64_t failures = 0;  ///< reads and writes
+        std::uint64_t failures = 0;  ///< reads, writes and silent writers
+        std::uint64_t sent = 0;      ///< own changes sent to a writer
+        std::uint64_t answered = 0;  ///< of these, applied
+        std::uint64_t for_peers = 0; ///< changes of peers that were written
         boost::accumulators::accumulator_set<
             double, boost::accumulators::stats<boost::accumulators::tag::mean,
                                                boost::accumulators::tag::max>>
             write_ms;
     };
 
-    /// A write that has no response yet and may still be applied.
-    struct pending_write
+    /// The account as it is to be written, and what becomes of each change.
+    struct planned_write
     {
-        std::uint64_t revision = 0; ///< that the write is conditional on
-        token_map_t drawn;
-        process_id witness;
+        escrow_book book;
+        std::map<process_id, change_result> results;
+        bool changed = false;
+        bool any_refused = false;
     };
 
+    planned_write apply_all(const changes_t& changes) const;
+    milliseconds fail_all(const changes_t& changes);
     boost::asio::awaitable<void> refresh(bool stale_allowed);
+    boost::asio::awaitable<void> create_account();
+    boost::asio::awaitable<milliseconds> step();
+    boost::asio::awaitable<milliseconds> write_changes(bool paced);
+    boost::asio::awaitable<call_result> put_account(const escrow_book& book);
+    milliseconds send_pending(const std::string& writer);
+    milliseconds conflict_pause();
+    void answer_all(const changes_t& changes, const escrow_book& book,
+                    const std::map<process_id, change_result>& results);
+    void answer(const account_change& change, account_answer reply);
+    void avoid(const std::string& host, std::string_view reason);
+    void record_own_answer();
+    std::string choose_writer_now();
     void update_fleet_rates();
     void record_call(bool answered);
-    boost::asio::awaitable<write_outcome> write_account(escrow_book new_book);
-    boost::asio::awaitable<milliseconds> step();
-    boost::asio::awaitable<void> create_account();
-    void apply_object(const std::string& body);
+    void record_outcome(bool answered);
+    bool apply_object(const std::string& body);
+    void apply_view();
     void update_usable();
     void publish_budgets();
     wallet_states_t states_with_fleet_rates() const;
-    bool return_unused(escrow_book& new_book);
-    std::optional<escrow_book> plan_write();
+    void add_returns(account_change& change);
+    void plan_join();
+    void plan_change();
+    account_change make_change() const;
     void request_lowering(const token_map_t& targets);
     bool owns_holding() const;
     token_count_t confirmed_limit(const std::string& customer) const;
@@ -143,9 +181,17 @@
     escrow_policy m_policy;
     token_map_t m_budgets;
     wallet_states_t m_states;
-    escrow_book m_book;
-    std::uint64_t m_revision = 0; ///< of m_book; 0 before the first read
-    std::optional<pending_write> m_pending;
+    account_view m_view;
+    changes_t m_received; ///< changes of peers that are not written yet
+    host_contacts_t m_contacts;
+    time_point_t m_started;
+    std::string m_writer;        ///< to which the pending change was sent
+    time_point_t m_sent_since{}; ///< first time to m_writer
+    time_point_t m_sent_at{};    ///< last time
+    std::uint64_t m_sent_sequence = 0;
+    int m_failed_writers = 0;    ///< for the pending change
+    time_point_t m_written_at{}; ///< begin of the last write that was applied
+    int m_consecutive_conflicts = 0;
     token_map_t m_usable;     ///< confirmed holdings of this process
     token_map_t m_lowering;   ///< targets requested and not yet reported
     time_point_t m_read_at{}; ///< last attempt to read the account
@@ -166,10 +212,13 @@
     };
 
     std::map<std::string, fleet_usage, std::less<>> m_fleet_usage;
+    std::minstd_rand m_random{std::random_device{}()};
     call_statistics m_calls;
     std::size_t m_account_bytes = 0; ///< as last read
-    bool m_failing = false;          ///< the retry delay must not be cut short
+    bool m_failing = false; ///< the current pause must not be cut short
     int m_consecutive_failures = 0;
+    bool m_store_reachable = true; ///< the store answered the last call
+    time_point_t m_reachable_since{};
     bool m_running = false;
     bool m_closing = false;
     bool m_stale = true; ///< the account must be read before the next write
--- a/src/node/escrow_witness.cpp
+++ b/src/node/escrow_witness.cpp
@@ -26,7 +26,7 @@
 process_id escrow_keeper::registered_witness() const
 {
     return owns_holding()
-               ? m_book.hosts.find(m_identity.process.host)->second.witness
+               ? m_view.book.hosts.find(m_identity.process.host)->second.witness
                : process_id();
 }
 
@@ -42,8 +42,8 @@
                                                       witness, customer));
     };
     apply_ceiling(registered_witness());
-    if (m_pending)
-        apply_ceiling(m_pending->witness);
+    if (m_view.pending)
+        apply_ceiling(m_view.pending->witness);
     if (m_candidate_limits)
         apply_ceiling(m_candidate);
     return limit;
@@ -58,7 +58,7 @@
 /// Chooses a candidate if this host has no witness or an unresponsive one.
 void escrow_keeper::update_witness()
 {
-    if (!owns_holding() || m_pending)
+    if (!owns_holding() || m_view.pending)
         return;
     const auto now = time_point_t::clock::now();
     const auto current = registered_witness();
@@ -68,7 +68,7 @@
         drop_candidate();
     if (needs_witness && m_candidate.none())
         m_candidate = m_witnesses.choose_witness(
-            m_book, current,
+            m_view.book, current,
             !current.none() || now - m_holding_since > own_zone_only_period);
     std::vector<process_id> witnesses;
     for (const auto& each : {current, m_candidate})
@@ -91,7 +91,7 @@
 /// the current witness has or, if there is none, what is in use.
 bool escrow_keeper::candidate_ready() const
 {
-    if (m_candidate.none() || m_pending)
+    if (m_candidate.none() || m_view.pending)
         return false;
     const auto& ceilings = m_witnesses.ceilings();
     if (!registered_witness().none())
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -27,7 +27,7 @@
 /// checked; a fifth of the shortest time bound that they have to keep.
 constexpr milliseconds tick_period{200};
 
-/// Interval at which the calls on the escrow account are logged.
+/// Interval at which the calls to the store are logged.
 constexpr milliseconds log_interval{5000};
 
 /// Age of the store's last response up to which this host does not ask peers
@@ -38,6 +38,12 @@
 /// a peer already has, before it fetches the peer's state.
 constexpr milliseconds peer_fetch_delay{300};
 
+socket_address to_address(const std::string& text)
+{
+    auto [ip, port] = split_address(text);
+    return {std::move(ip), static_cast<std::uint16_t>(port)};
+}
+
 } // namespace
 
 node_control::node_control(asio::io_context& loop,
@@ -49,7 +55,8 @@
       m_identity{{settings.host, std::move(incarnation)},
                  m_peers.address().ip + ":" +
                      std::to_string(m_peers.address().port),
-                 settings.zone},
+                 settings.zone,
+                 settings.processor_cores * settings.link_mbps},
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
       m_witnesses(loop.get_executor(), m_identity.process, settings.zone,
@@ -67,6 +74,16 @@
     {
         apply_hosts(book);
     };
+    listener.send_change =
+        [this](const std::string& address, const account_change& change)
+    {
+        m_peers.send(to_address(address), change);
+    };
+    listener.send_answer =
+        [this](const std::string& address, const account_answer& answer)
+    {
+        m_peers.send(to_address(address), answer);
+    };
     return listener;
 }
 
@@ -104,6 +121,14 @@
     {
         return m_witnesses.handle_message(message);
     };
+    listener.change_received = [this](const account_change& change)
+    {
+        m_escrow.handle_change(change);
+    };
+    listener.answer_received = [this](const account_answer& answer)
+    {
+        m_escrow.handle_answer(answer);
+    };
     listener.state_received = [this](const peer_state& state)
     {
         apply_peer_state(state);
@@ -294,10 +319,7 @@
 {
     std::map<std::string, socket_address> peers;
     for (const auto& [host, holding] : book.hosts)
-    {
-        auto [ip, port] = split_address(holding.address);
-        peers[host] = {std::move(ip), static_cast<std::uint16_t>(port)};
-    }
+        peers[host] = to_address(holding.address);
     m_peers.set_peers(peers);
     if (m_host_count == book.hosts.size())
         return;
@@ -327,6 +349,7 @@
     heartbeat.incarnation = m_identity.process.incarnation;
     heartbeat.configuration = m_configuration ? m_configuration->version : 0;
     heartbeat.fresh = store_is_current(now);
+    heartbeat.can_write = m_escrow.can_write();
     heartbeat.state_digest = state_digest();
     heartbeat.evidence = m_moves.evidence();
     heartbeat.crashes = m_crashes.own(now);
@@ -349,6 +372,7 @@
 {
     const auto now = time_point_t::clock::now();
     m_witnesses.record_heartbeat({heartbeat.host, heartbeat.incarnation});
+    m_escrow.record_heartbeat(heartbeat.host, heartbeat.can_write);
     for (const auto& each : heartbeat.evidence)
         m_moves.set_peer_evidence(heartbeat.host, each);
     if (m_crashes.set_peer_counts(heartbeat.host, heartbeat.crashes, now))
@@ -421,6 +445,11 @@
         {
             next_log = now + log_interval;
             m_escrow.log_calls();
+            spdlog::info("event=store_calls list={} watch={} budget={} move={}",
+                         m_store.calls(call_purpose::list),
+                         m_store.calls(call_purpose::watch),
+                         m_store.calls(call_purpose::budget),
+                         m_store.calls(call_purpose::move));
         }
         m_moves.tick(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -112,12 +112,30 @@
     const auto found = m_peers.find(host);
     if (found == m_peers.end())
         return;
-    const auto to = to_endpoint(found->second);
-    if (!to)
+    send_bytes(found->second, encode_witness(message));
+}
+
+void peer_exchange::send(const socket_address& address,
+                         const account_change& change)
+{
+    send_bytes(address, encode_change(change));
+}
+
+void peer_exchange::send(const socket_address& address,
+                         const account_answer& answer)
+{
+    send_bytes(address, encode_answer(answer));
+}
+
+void peer_exchange::send_bytes(const socket_address& address,
+                               const std::string& bytes)
+{
+    const auto to = to_endpoint(address);
+    if (!to || bytes.size() > max_datagram_bytes)
         return;
     boost::system::error_code ignored; // the sender retries until answered
-    m_socket.send_to(asio::buffer(encode_witness(message)),
-                     {to->address(), to->port()}, 0, ignored);
+    m_socket.send_to(asio::buffer(bytes), {to->address(), to->port()}, 0,
+                     ignored);
 }
 
 void peer_exchange::handle_datagram(const peer_datagram_t& datagram,
@@ -125,6 +143,10 @@
 {
     if (const auto* const heartbeat = std::get_if<peer_heartbeat>(&datagram))
         return m_listener.heartbeat_received(*heartbeat);
+    if (const auto* const change = std::get_if<account_change>(&datagram))
+        return m_listener.change_received(*change);
+    if (const auto* const reply = std::get_if<account_answer>(&datagram))
+        return m_listener.answer_received(*reply);
     const auto answer = m_listener.witness_message_received(
         std::get<witness_message>(datagram));
     if (!answer)
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -34,6 +34,9 @@
     /// @return the answer to send, if there is one
     std::function<std::optional<witness_message>(const witness_message&)>
         witness_message_received;
+    /// A peer asks this host to write its change to the escrow account.
+    std::function<void(const account_change&)> change_received;
+    std::function<void(const account_answer&)> answer_received;
     /// The state that @ref peer_exchange::request_state asked for has arrived.
     std::function<void(const peer_state&)> state_received;
 };
@@ -67,12 +70,18 @@
     /// @brief Sends a message to a host, without retries.
     void send(const std::string& host, const witness_message& message);
 
+    /// @brief Sends a change of the escrow account, or the answer to one, to an
+    ///        address, without retries.
+    void send(const socket_address& address, const account_change& change);
+    void send(const socket_address& address, const account_answer& answer);
+
     /// @brief Requests a host's state, unless a request to any host is in
     ///        progress. On failure nothing is reported; the next heartbeat
     ///        triggers a new request.
     void request_state(const std::string& host);
 
 private:
+    void send_bytes(const socket_address& address, const std::string& bytes);
     boost::asio::awaitable<void> send_heartbeats();
     boost::asio::awaitable<void> receive_datagrams();
     void handle_datagram(const peer_datagram_t& datagram,
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -44,6 +44,7 @@
   stateDigest @4 :UInt64;    # hash of the sender's endpoints and moves
   evidence @5 :List(MoveEvidence);
   crashes @6 :List(Crashes);
+  canWrite @7 :Bool;         # the sender can write the escrow account
 }
 
 # One run of a host's process; each start has a new incarnation.
@@ -68,11 +69,68 @@
   confirmed @3 :Bool;
 }
 
+# Tokens of one customer's budget.
+struct Tokens {
+  customer @0 :Text;
+  tokens @1 :UInt64;
+}
+
+# Ceilings that a witness confirmed to a process that has ended.
+struct Closed {
+  owner @0 :Process;
+  ceilings @1 :List(Tokens);
+}
+
+# A process's change to its holding in the escrow account, for the host that
+# writes the account.
+struct Change {
+  owner @0 :Process;
+  address @1 :Text;
+  zone @2 :Text;
+  capacity @3 :Float64;
+  sequence @4 :UInt64;
+  replaces @5 :Text;   # incarnation whose holding the owner takes over
+  witness @6 :Process;
+  drawn @7 :List(Tokens);
+  used @8 :List(Tokens);
+  closed @9 :List(Closed);
+  urgent @10 :Bool;
+}
+
+# Tokens of one customer's budget in the whole account.
+struct Total {
+  customer @0 :Text;
+  drawn @1 :UInt64;
+  used @2 :UInt64;
+}
+
+enum ChangeResult {
+  applied @0;
+  known @1;
+  refused @2;
+  failed @3;
+}
+
+# The writer's answer to a change.
+struct Answer {
+  owner @0 :Process;
+  sequence @1 :UInt64;
+  result @2 :ChangeResult;
+  revision @3 :UInt64;
+  witness @4 :Process;
+  drawn @5 :List(Tokens);
+  totals @6 :List(Total);
+  writer @7 :Text;
+  hosts @8 :UInt32;
+}
+
 # Root of every UDP datagram between hosts.
 struct Datagram {
   union {
     beat @0 :Beat;
     witness @1 :Witness;
+    change @2 :Change;
+    answer @3 :Answer;
   }
 }
 
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -24,6 +24,19 @@
 CAPNP_DECLARE_SCHEMA(af4f3e7e93d9b8eb);
 CAPNP_DECLARE_SCHEMA(db60faeca94cec2c);
 CAPNP_DECLARE_SCHEMA(9a92a7cf05cb0dcc);
+CAPNP_DECLARE_SCHEMA(fc776b44faa6533f);
+CAPNP_DECLARE_SCHEMA(d9fd38b3055df972);
+CAPNP_DECLARE_SCHEMA(cf5c8f27e1b5e56e);
+CAPNP_DECLARE_SCHEMA(de13394afdbce1a1);
+CAPNP_DECLARE_SCHEMA(dc9680e5bedbca6a);
+enum class ChangeResult_dc9680e5bedbca6a: uint16_t {
+  APPLIED,
+  KNOWN,
+  REFUSED,
+  FAILED,
+};
+CAPNP_DECLARE_ENUM(ChangeResult, dc9680e5bedbca6a);
+CAPNP_DECLARE_SCHEMA(84356ff613fa4e45);
 CAPNP_DECLARE_SCHEMA(ac51406e9bcd16f8);
 CAPNP_DECLARE_SCHEMA(973f3dc51ee83eb9);
 CAPNP_DECLARE_SCHEMA(a379538d84b5d8a5);
@@ -155,6 +168,83 @@
   };
 };
 
+struct Tokens {
+  Tokens() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc776b44faa6533f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Closed {
+  Closed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9fd38b3055df972, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Change {
+  Change() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cf5c8f27e1b5e56e, 3, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Total {
+  Total() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de13394afdbce1a1, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::ChangeResult_dc9680e5bedbca6a ChangeResult;
+
+struct Answer {
+  Answer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84356ff613fa4e45, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -164,6 +254,8 @@
   enum Which: uint16_t {
     BEAT,
     WITNESS,
+    CHANGE,
+    ANSWER,
   };
 
   struct _capnpPrivate {
@@ -659,6 +751,8 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool getCanWrite() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -724,6 +818,9 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool getCanWrite();
+  inline void setCanWrite(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1035,9 +1132,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class Tokens::Reader {
 public:
-  typedef Datagram Reads;
+  typedef Tokens Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1052,14 +1149,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isBeat() const;
-  inline bool hasBeat() const;
-  inline  ::rhubarbgrade::peer_protocol::Beat::Reader getBeat() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline bool isWitness() const;
-  inline bool hasWitness() const;
-  inline  ::rhubarbgrade::peer_protocol::Witness::Reader getWitness() const;
+  inline  ::uint64_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1073,9 +1166,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class Tokens::Builder {
 public:
-  typedef Datagram Builds;
+  typedef Tokens Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1089,22 +1182,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isBeat();
-  inline bool hasBeat();
-  inline  ::rhubarbgrade::peer_protocol::Beat::Builder getBeat();
-  inline void setBeat( ::rhubarbgrade::peer_protocol::Beat::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Beat::Builder initBeat();
-  inline void adoptBeat(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> disownBeat();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  inline bool isWitness();
-  inline bool hasWitness();
-  inline  ::rhubarbgrade::peer_protocol::Witness::Builder getWitness();
-  inline void setWitness( ::rhubarbgrade::peer_protocol::Witness::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Witness::Builder initWitness();
-  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness> disownWitness();
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1116,9 +1202,9 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class Tokens::Pipeline {
 public:
-  typedef Datagram Pipelines;
+  typedef Tokens Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1132,9 +1218,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Endpoint::Reader {
+class Closed::Reader {
 public:
-  typedef Endpoint Reads;
+  typedef Closed Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1149,28 +1235,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasIp() const;
-  inline  ::capnp::Text::Reader getIp() const;
-
-  inline  ::uint16_t getPort() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
-
-  inline  ::uint32_t getSlots() const;
-
-  inline  ::uint64_t getStarted() const;
+  inline bool hasOwner() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
 
-  inline bool getLeaving() const;
+  inline bool hasCeilings() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getCeilings() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1184,9 +1253,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Endpoint::Builder {
+class Closed::Builder {
 public:
-  typedef Endpoint Builds;
+  typedef Closed Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1200,52 +1269,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasIp();
-  inline  ::capnp::Text::Builder getIp();
-  inline void setIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIp(unsigned int size);
-  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIp();
-
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
-
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
-
-  inline  ::uint64_t getStarted();
-  inline void setStarted( ::uint64_t value);
+  inline bool hasOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
+  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline bool hasCeilings();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getCeilings();
+  inline void setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initCeilings(unsigned int size);
+  inline void adoptCeilings(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownCeilings();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1257,14 +1293,15 @@
 };
 
 #if !CAPNP_LITE
-class Endpoint::Pipeline {
+class Closed::Pipeline {
 public:
-  typedef Endpoint Pipelines;
+  typedef Closed Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1273,9 +1310,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Move::Reader {
+class Change::Reader {
 public:
-  typedef Move Reads;
+  typedef Change Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1290,21 +1327,35 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasOwner() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline  ::int64_t getLimitMs() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-  inline  ::uint8_t getState() const;
+  inline double getCapacity() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getCreated() const;
+  inline bool hasReplaces() const;
+  inline  ::capnp::Text::Reader getReplaces() const;
 
-  inline  ::int64_t getElapsedMs() const;
+  inline bool hasWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
+
+  inline bool hasDrawn() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
+
+  inline bool hasUsed() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getUsed() const;
+
+  inline bool hasClosed() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader getClosed() const;
+
+  inline bool getUrgent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1318,9 +1369,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Move::Builder {
+class Change::Builder {
 public:
-  typedef Move Builds;
+  typedef Change Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1334,34 +1385,70 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool hasOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
+  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::int64_t getLimitMs();
-  inline void setLimitMs( ::int64_t value);
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline double getCapacity();
+  inline void setCapacity(double value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::uint64_t getCreated();
-  inline void setCreated( ::uint64_t value);
+  inline bool hasReplaces();
+  inline  ::capnp::Text::Builder getReplaces();
+  inline void setReplaces( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplaces(unsigned int size);
+  inline void adoptReplaces(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplaces();
 
-  inline  ::int64_t getElapsedMs();
-  inline void setElapsedMs( ::int64_t value);
+  inline bool hasWitness();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
+
+  inline bool hasDrawn();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
+  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
+  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
+
+  inline bool hasUsed();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getUsed();
+  inline void setUsed( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initUsed(unsigned int size);
+  inline void adoptUsed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownUsed();
+
+  inline bool hasClosed();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder getClosed();
+  inline void setClosed( ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder initClosed(unsigned int size);
+  inline void adoptClosed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>> disownClosed();
+
+  inline bool getUrgent();
+  inline void setUrgent(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1373,14 +1460,16 @@
 };
 
 #if !CAPNP_LITE
-class Move::Pipeline {
+class Change::Pipeline {
 public:
-  typedef Move Pipelines;
+  typedef Change Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1389,9 +1478,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class State::Reader {
+class Total::Reader {
 public:
-  typedef State Reads;
+  typedef Total Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1406,16 +1495,119 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::capnp::Text::Reader getConfiguration() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::uint64_t getDrawn() const;
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+  inline  ::uint64_t getUsed() const;
 
-  inline bool hasMoves() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader getMoves() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Total::Builder {
+public:
+  typedef Total Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::uint64_t getDrawn();
+  inline void setDrawn( ::uint64_t value);
+
+  inline  ::uint64_t getUsed();
+  inline void setUsed( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Total::Pipeline {
+public:
+  typedef Total Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Answer::Reader {
+public:
+  typedef Answer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOwner() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
+
+  inline bool hasDrawn() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
+
+  inline bool hasTotals() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader getTotals() const;
+
+  inline bool hasWriter() const;
+  inline  ::capnp::Text::Reader getWriter() const;
+
+  inline  ::uint32_t getHosts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1429,9 +1621,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class State::Builder {
+class Answer::Builder {
 public:
-  typedef State Builds;
+  typedef Answer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1445,29 +1637,52 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::capnp::Text::Builder getConfiguration();
-  inline void setConfiguration( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
-  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+  inline bool hasOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
+  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>> disownEndpoints();
+  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult();
+  inline void setResult( ::rhubarbgrade::peer_protocol::ChangeResult value);
 
-  inline bool hasMoves();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder getMoves();
-  inline void setMoves( ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder initMoves(unsigned int size);
-  inline void adoptMoves(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>> disownMoves();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasWitness();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
+
+  inline bool hasDrawn();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
+  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
+  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
+
+  inline bool hasTotals();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder getTotals();
+  inline void setTotals( ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder initTotals(unsigned int size);
+  inline void adoptTotals(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>> disownTotals();
+
+  inline bool hasWriter();
+  inline  ::capnp::Text::Builder getWriter();
+  inline void setWriter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWriter(unsigned int size);
+  inline void adoptWriter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWriter();
+
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1479,14 +1694,16 @@
 };
 
 #if !CAPNP_LITE
-class State::Pipeline {
+class Answer::Pipeline {
 public:
-  typedef State Pipelines;
+  typedef Answer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1495,816 +1712,2057 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Datagram::Reader {
+public:
+  typedef Datagram Reads;
 
-inline double Sums::Reader::getRequests() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline double Sums::Builder::getRequests() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setRequests(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline double Sums::Reader::getErrors() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline double Sums::Builder::getErrors() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setErrors(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline Which which() const;
+  inline bool isBeat() const;
+  inline bool hasBeat() const;
+  inline  ::rhubarbgrade::peer_protocol::Beat::Reader getBeat() const;
 
-inline double Sums::Reader::getLogLatency() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline bool isWitness() const;
+  inline bool hasWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Witness::Reader getWitness() const;
 
-inline double Sums::Builder::getLogLatency() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setLogLatency(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline bool isChange() const;
+  inline bool hasChange() const;
+  inline  ::rhubarbgrade::peer_protocol::Change::Reader getChange() const;
 
-inline double Sums::Reader::getLogLatencySquare() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::rhubarbgrade::peer_protocol::Answer::Reader getAnswer() const;
 
-inline double Sums::Builder::getLogLatencySquare() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setLogLatencySquare(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline double Sums::Reader::getTimed() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+class Datagram::Builder {
+public:
+  typedef Datagram Builds;
 
-inline double Sums::Builder::getTimed() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setTimed(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isBeat();
+  inline bool hasBeat();
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder getBeat();
+  inline void setBeat( ::rhubarbgrade::peer_protocol::Beat::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> disownBeat();
+
+  inline bool isWitness();
+  inline bool hasWitness();
+  inline  ::rhubarbgrade::peer_protocol::Witness::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Witness::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Witness::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness> disownWitness();
+
+  inline bool isChange();
+  inline bool hasChange();
+  inline  ::rhubarbgrade::peer_protocol::Change::Builder getChange();
+  inline void setChange( ::rhubarbgrade::peer_protocol::Change::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Change::Builder initChange();
+  inline void adoptChange(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change> disownChange();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::rhubarbgrade::peer_protocol::Answer::Builder getAnswer();
+  inline void setAnswer( ::rhubarbgrade::peer_protocol::Answer::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Pipeline {
+public:
+  typedef Datagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Endpoint::Reader {
+public:
+  typedef Endpoint Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasIp() const;
+  inline  ::capnp::Text::Reader getIp() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::uint64_t getStarted() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Endpoint::Builder {
+public:
+  typedef Endpoint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasIp();
+  inline  ::capnp::Text::Builder getIp();
+  inline void setIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIp(unsigned int size);
+  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIp();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint64_t getStarted();
+  inline void setStarted( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Endpoint::Pipeline {
+public:
+  typedef Endpoint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Move::Reader {
+public:
+  typedef Move Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getLimitMs() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getCreated() const;
+
+  inline  ::int64_t getElapsedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Move::Builder {
+public:
+  typedef Move Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getLimitMs();
+  inline void setLimitMs( ::int64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getCreated();
+  inline void setCreated( ::uint64_t value);
+
+  inline  ::int64_t getElapsedMs();
+  inline void setElapsedMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Move::Pipeline {
+public:
+  typedef Move Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class State::Reader {
+public:
+  typedef State Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Text::Reader getConfiguration() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
+  inline bool hasMoves() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader getMoves() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class State::Builder {
+public:
+  typedef State Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration();
+  inline  ::capnp::Text::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
+  inline bool hasMoves();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder getMoves();
+  inline void setMoves( ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder initMoves(unsigned int size);
+  inline void adoptMoves(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>> disownMoves();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class State::Pipeline {
+public:
+  typedef State Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline double Sums::Reader::getRequests() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getRequests() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setRequests(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getErrors() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getErrors() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setErrors(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getLogLatency() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getLogLatency() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setLogLatency(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getLogLatencySquare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getLogLatencySquare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setLogLatencySquare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getTimed() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getTimed() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setTimed(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouteEvidence::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouteEvidence::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouteEvidence::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouteEvidence::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouteEvidence::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouteEvidence::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getFrom() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setFrom( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptFrom(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getTo() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setTo( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptTo(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasToAll() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasToAll() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToAll() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToAll() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setToAll( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptToAll(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasToRecent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasToRecent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToRecent() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToRecent() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setToRecent( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptToRecent(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MoveEvidence::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MoveEvidence::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasRoutes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasRoutes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader MoveEvidence::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setRoutes( ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>> MoveEvidence::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Crashes::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crashes::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crashes::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crashes::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crashes::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Crashes::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Beat::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Beat::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Beat::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Beat::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Beat::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Beat::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Beat::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getFresh() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getFresh() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setFresh(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getStateDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getStateDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStateDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> Beat::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::getCanWrite() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getCanWrite() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setCanWrite(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Process::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Process::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Process::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Process::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Process::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Process::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Process::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Process::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Process::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Process::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Process::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Process::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Process::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Process::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Process::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Process::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RouteEvidence::Reader::hasRoute() const {
+inline bool Ceiling::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasRoute() {
+inline bool Ceiling::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RouteEvidence::Reader::getRoute() const {
+inline  ::capnp::Text::Reader Ceiling::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RouteEvidence::Builder::getRoute() {
+inline  ::capnp::Text::Builder Ceiling::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RouteEvidence::Builder::setRoute( ::capnp::Text::Reader value) {
+inline void Ceiling::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RouteEvidence::Builder::initRoute(unsigned int size) {
+inline  ::capnp::Text::Builder Ceiling::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RouteEvidence::Builder::adoptRoute(
+inline void Ceiling::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RouteEvidence::Builder::disownRoute() {
+inline ::capnp::Orphan< ::capnp::Text> Ceiling::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RouteEvidence::Reader::hasFrom() const {
+inline  ::uint64_t Ceiling::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ceiling::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ceiling::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Witness::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Witness::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Witness::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Witness::Pipeline::getOwner() {
+  return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Witness::Builder::setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Witness::Builder::adoptOwner(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Witness::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Witness::Reader::hasWitness() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasFrom() {
+inline bool Witness::Builder::hasWitness() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Witness::Reader::getWitness() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::getWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getFrom() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(1));
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Witness::Pipeline::getWitness() {
+  return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setFrom( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+inline void Witness::Builder::setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::initWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RouteEvidence::Builder::adoptFrom(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+inline void Witness::Builder::adoptWitness(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Witness::Builder::disownWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RouteEvidence::Reader::hasTo() const {
+inline bool Witness::Reader::hasCeilings() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasTo() {
+inline bool Witness::Builder::hasCeilings() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getTo() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader Witness::Reader::getCeilings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder Witness::Builder::getCeilings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getTo() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setTo( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+inline void Witness::Builder::setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder Witness::Builder::initCeilings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RouteEvidence::Builder::adoptTo(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+inline void Witness::Builder::adoptCeilings(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>> Witness::Builder::disownCeilings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RouteEvidence::Reader::hasToAll() const {
+inline bool Witness::Reader::getConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Witness::Builder::getConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Witness::Builder::setConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Tokens::Reader::hasCustomer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasToAll() {
+inline bool Tokens::Builder::hasCustomer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToAll() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Tokens::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Tokens::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToAll() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(3));
+inline void Tokens::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setToAll( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Tokens::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Tokens::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RouteEvidence::Builder::adoptToAll(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> Tokens::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Tokens::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool RouteEvidence::Reader::hasToRecent() const {
+inline  ::uint64_t Tokens::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Tokens::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Closed::Reader::hasOwner() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasToRecent() {
+inline bool Closed::Builder::hasOwner() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToRecent() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Closed::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Closed::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToRecent() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(4));
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Closed::Pipeline::getOwner() {
+  return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setToRecent( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Closed::Builder::setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Closed::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Closed::Builder::adoptOwner(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Closed::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Closed::Reader::hasCeilings() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Closed::Builder::hasCeilings() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader Closed::Reader::getCeilings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Closed::Builder::getCeilings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Closed::Builder::setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void RouteEvidence::Builder::adoptToRecent(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Closed::Builder::initCeilings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Closed::Builder::adoptCeilings(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> Closed::Builder::disownCeilings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MoveEvidence::Reader::hasService() const {
+inline bool Change::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasService() {
+inline bool Change::Builder::hasOwner() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MoveEvidence::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Change::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Change::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Change::Pipeline::getOwner() {
+  return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Change::Builder::setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Change::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Change::Builder::adoptOwner(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Change::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MoveEvidence::Reader::hasTarget() const {
+inline bool Change::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasTarget() {
+inline bool Change::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MoveEvidence::Reader::getTarget() const {
+inline  ::capnp::Text::Reader Change::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::getTarget() {
+inline  ::capnp::Text::Builder Change::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void Change::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder Change::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MoveEvidence::Builder::adoptTarget(
+inline void Change::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MoveEvidence::Reader::hasRoutes() const {
+inline bool Change::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasRoutes() {
+inline bool Change::Builder::hasZone() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader MoveEvidence::Reader::getRoutes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Change::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::getRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Change::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setRoutes( ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Change::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::initRoutes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Change::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MoveEvidence::Builder::adoptRoutes(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Change::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>> MoveEvidence::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Crashes::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double Change::Reader::getCapacity() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crashes::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
+inline double Change::Builder::getCapacity() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Crashes::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Change::Builder::setCapacity(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crashes::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Change::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crashes::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Change::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Crashes::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Change::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasHost() const {
+inline bool Change::Reader::hasReplaces() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasHost() {
+inline bool Change::Builder::hasReplaces() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Beat::Reader::getHost() const {
+inline  ::capnp::Text::Reader Change::Reader::getReplaces() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Beat::Builder::getHost() {
+inline  ::capnp::Text::Builder Change::Builder::getReplaces() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setHost( ::capnp::Text::Reader value) {
+inline void Change::Builder::setReplaces( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Beat::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder Change::Builder::initReplaces(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptHost(
+inline void Change::Builder::adoptReplaces(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> Change::Builder::disownReplaces() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasIncarnation() const {
+inline bool Change::Reader::hasWitness() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasIncarnation() {
+inline bool Change::Builder::hasWitness() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Beat::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Beat::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Beat::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Beat::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Beat::Reader::getConfiguration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Beat::Builder::getConfiguration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Beat::Builder::setConfiguration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Beat::Reader::getFresh() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool Beat::Builder::getFresh() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void Beat::Builder::setFresh(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Beat::Reader::getStateDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Beat::Builder::getStateDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Beat::Builder::setStateDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Beat::Reader::hasEvidence() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasEvidence() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Change::Reader::getWitness() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getEvidence() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Change::Builder::getWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getEvidence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Change::Pipeline::getWitness() {
+  return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(4));
 }
-inline void Beat::Builder::setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Change::Builder::setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initEvidence(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Change::Builder::initWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::adoptEvidence(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Change::Builder::adoptWitness(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> Beat::Builder::disownEvidence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Change::Builder::disownWitness() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasCrashes() const {
+inline bool Change::Reader::hasDrawn() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasCrashes() {
+inline bool Change::Builder::hasDrawn() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader Change::Reader::getDrawn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Change::Builder::getDrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Change::Builder::setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Change::Builder::initDrawn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Change::Builder::adoptDrawn(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> Change::Builder::disownDrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Process::Reader::hasHost() const {
+inline bool Change::Reader::hasUsed() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Process::Builder::hasHost() {
+inline bool Change::Builder::hasUsed() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Process::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader Change::Reader::getUsed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Process::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Change::Builder::getUsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Process::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Change::Builder::setUsed( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Process::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Change::Builder::initUsed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Process::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Change::Builder::adoptUsed(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Process::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> Change::Builder::disownUsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Process::Reader::hasIncarnation() const {
+inline bool Change::Reader::hasClosed() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Process::Builder::hasIncarnation() {
+inline bool Change::Builder::hasClosed() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Process::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader Change::Reader::getClosed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Process::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder Change::Builder::getClosed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Process::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Change::Builder::setClosed( ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Process::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder Change::Builder::initClosed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void Process::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Change::Builder::adoptClosed(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Process::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>> Change::Builder::disownClosed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool Ceiling::Reader::hasCustomer() const {
+inline bool Change::Reader::getUrgent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Change::Builder::getUrgent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setUrgent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Total::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Ceiling::Builder::hasCustomer() {
+inline bool Total::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Ceiling::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader Total::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Ceiling::Builder::getCustomer() {
+inline  ::capnp::Text::Builder Total::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Ceiling::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void Total::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Ceiling::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder Total::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Ceiling::Builder::adoptCustomer(
+inline void Total::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Ceiling::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> Total::Builder::disownCustomer() {
