   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Ceiling::Reader::getTokens() const {
+inline  ::uint64_t Total::Reader::getDrawn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Ceiling::Builder::getTokens() {
+inline  ::uint64_t Total::Builder::getDrawn() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Ceiling::Builder::setTokens( ::uint64_t value) {
+inline void Total::Builder::setDrawn( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Witness::Reader::hasOwner() const {
+inline  ::uint64_t Total::Reader::getUsed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Total::Builder::getUsed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Total::Builder::setUsed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Witness::Builder::hasOwner() {
+inline bool Answer::Builder::hasOwner() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Reader Witness::Reader::getOwner() const {
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Answer::Reader::getOwner() const {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::getOwner() {
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Answer::Builder::getOwner() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Witness::Pipeline::getOwner() {
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Answer::Pipeline::getOwner() {
   return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Witness::Builder::setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+inline void Answer::Builder::setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value) {
   ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::initOwner() {
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Answer::Builder::initOwner() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Witness::Builder::adoptOwner(
+inline void Answer::Builder::adoptOwner(
     ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
   ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Witness::Builder::disownOwner() {
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Answer::Builder::disownOwner() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Witness::Reader::hasWitness() const {
+inline  ::uint64_t Answer::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::rhubarbgrade::peer_protocol::ChangeResult Answer::Reader::getResult() const {
+  return _reader.getDataField< ::rhubarbgrade::peer_protocol::ChangeResult>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::rhubarbgrade::peer_protocol::ChangeResult Answer::Builder::getResult() {
+  return _builder.getDataField< ::rhubarbgrade::peer_protocol::ChangeResult>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setResult( ::rhubarbgrade::peer_protocol::ChangeResult value) {
+  _builder.setDataField< ::rhubarbgrade::peer_protocol::ChangeResult>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Answer::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasWitness() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Witness::Builder::hasWitness() {
+inline bool Answer::Builder::hasWitness() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Reader Witness::Reader::getWitness() const {
+inline  ::rhubarbgrade::peer_protocol::Process::Reader Answer::Reader::getWitness() const {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::getWitness() {
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Answer::Builder::getWitness() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Witness::Pipeline::getWitness() {
+inline  ::rhubarbgrade::peer_protocol::Process::Pipeline Answer::Pipeline::getWitness() {
   return  ::rhubarbgrade::peer_protocol::Process::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Witness::Builder::setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value) {
+inline void Answer::Builder::setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value) {
   ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::rhubarbgrade::peer_protocol::Process::Builder Witness::Builder::initWitness() {
+inline  ::rhubarbgrade::peer_protocol::Process::Builder Answer::Builder::initWitness() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Witness::Builder::adoptWitness(
+inline void Answer::Builder::adoptWitness(
     ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value) {
   ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Witness::Builder::disownWitness() {
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> Answer::Builder::disownWitness() {
   return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Process>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Witness::Reader::hasCeilings() const {
+inline bool Answer::Reader::hasDrawn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Witness::Builder::hasCeilings() {
+inline bool Answer::Builder::hasDrawn() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader Witness::Reader::getCeilings() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getDrawn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder Witness::Builder::getCeilings() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getDrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Witness::Builder::setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Answer::Builder::setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder Witness::Builder::initCeilings(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initDrawn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Witness::Builder::adoptCeilings(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Answer::Builder::adoptDrawn(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>> Witness::Builder::disownCeilings() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> Answer::Builder::disownDrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Witness::Reader::getConfirmed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Answer::Reader::hasTotals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasTotals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getTotals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setTotals( ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initTotals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptTotals(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>> Answer::Builder::disownTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Witness::Builder::getConfirmed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Answer::Reader::hasWriter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Witness::Builder::setConfirmed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Answer::Builder::hasWriter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Answer::Reader::getWriter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Answer::Builder::getWriter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setWriter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Answer::Builder::initWriter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptWriter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownWriter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Answer::Reader::getHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Answer::Builder::getHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::rhubarbgrade::peer_protocol::Datagram::Which Datagram::Reader::which() const {
@@ -2424,6 +3882,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isChange() const {
+  return which() == Datagram::CHANGE;
+}
+inline bool Datagram::Builder::isChange() {
+  return which() == Datagram::CHANGE;
+}
+inline bool Datagram::Reader::hasChange() const {
+  if (which() != Datagram::CHANGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasChange() {
+  if (which() != Datagram::CHANGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Change::Reader Datagram::Reader::getChange() const {
+  KJ_IREQUIRE((which() == Datagram::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Change::Builder Datagram::Builder::getChange() {
+  KJ_IREQUIRE((which() == Datagram::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setChange( ::rhubarbgrade::peer_protocol::Change::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGE);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Change::Builder Datagram::Builder::initChange() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGE);
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptChange(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGE);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change> Datagram::Builder::disownChange() {
+  KJ_IREQUIRE((which() == Datagram::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Change>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isAnswer() const {
+  return which() == Datagram::ANSWER;
+}
+inline bool Datagram::Builder::isAnswer() {
+  return which() == Datagram::ANSWER;
+}
+inline bool Datagram::Reader::hasAnswer() const {
+  if (which() != Datagram::ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasAnswer() {
+  if (which() != Datagram::ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Answer::Reader Datagram::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Answer::Builder Datagram::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setAnswer( ::rhubarbgrade::peer_protocol::Answer::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Answer::Builder Datagram::Builder::initAnswer() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptAnswer(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer> Datagram::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Endpoint::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -148,6 +148,7 @@
     heartbeat.incarnation = root.getIncarnation();
     heartbeat.configuration = root.getConfiguration();
     heartbeat.fresh = root.getFresh();
+    heartbeat.can_write = root.getCanWrite();
     heartbeat.state_digest = root.getStateDigest();
     for (const auto each : root.getEvidence())
         heartbeat.evidence.push_back(read_evidence(each));
@@ -178,6 +179,98 @@
     return decoded;
 }
 
+void write_tokens(capnp::List<wire::Tokens>::Builder to,
+                  const token_map_t& from)
+{
+    unsigned i = 0;
+    for (const auto& [customer, tokens] : from)
+    {
+        to[i].setCustomer(customer);
+        to[i++].setTokens(tokens);
+    }
+}
+
+token_map_t read_tokens(capnp::List<wire::Tokens>::Reader from)
+{
+    token_map_t tokens;
+    for (const auto each : from)
+        tokens[each.getCustomer()] = each.getTokens();
+    return tokens;
+}
+
+unsigned size_of(const auto& container)
+{
+    return static_cast<unsigned>(container.size());
+}
+
+account_change read_change(wire::Change::Reader from)
+{
+    account_change decoded;
+    decoded.owner = read_process(from.getOwner());
+    decoded.address = from.getAddress();
+    decoded.zone = from.getZone();
+    decoded.capacity = from.getCapacity();
+    decoded.sequence = from.getSequence();
+    decoded.replaces = from.getReplaces();
+    decoded.witness = read_process(from.getWitness());
+    decoded.drawn = read_tokens(from.getDrawn());
+    decoded.used = read_tokens(from.getUsed());
+    for (const auto each : from.getClosed())
+        decoded.closed[read_process(each.getOwner())] =
+            read_tokens(each.getCeilings());
+    decoded.urgent = from.getUrgent();
+    return decoded;
+}
+
+/// The result in an answer; an unknown one counts as failed.
+change_result read_result(wire::ChangeResult from)
+{
+    switch (from)
+    {
+    case wire::ChangeResult::APPLIED:
+        return change_result::applied;
+    case wire::ChangeResult::KNOWN:
+        return change_result::known;
+    case wire::ChangeResult::REFUSED:
+        return change_result::refused;
+    case wire::ChangeResult::FAILED:
+        break;
+    }
+    return change_result::failed;
+}
+
+wire::ChangeResult write_result(change_result from)
+{
+    switch (from)
+    {
+    case change_result::applied:
+        return wire::ChangeResult::APPLIED;
+    case change_result::known:
+        return wire::ChangeResult::KNOWN;
+    case change_result::refused:
+        return wire::ChangeResult::REFUSED;
+    case change_result::failed:
+        break;
+    }
+    return wire::ChangeResult::FAILED;
+}
+
+account_answer read_answer(wire::Answer::Reader from)
+{
+    account_answer decoded;
+    decoded.owner = read_process(from.getOwner());
+    decoded.sequence = from.getSequence();
+    decoded.result = read_result(from.getResult());
+    decoded.writer = from.getWriter();
+    decoded.revision = from.getRevision();
+    decoded.hosts = from.getHosts();
+    decoded.witness = read_process(from.getWitness());
+    decoded.drawn = read_tokens(from.getDrawn());
+    for (const auto each : from.getTotals())
+        decoded.totals[each.getCustomer()] = {each.getDrawn(), each.getUsed()};
+    return decoded;
+}
+
 } // namespace
 
 std::string encode_heartbeat(const peer_heartbeat& heartbeat)
@@ -188,6 +281,7 @@
     root.setIncarnation(heartbeat.incarnation);
     root.setConfiguration(heartbeat.configuration);
     root.setFresh(heartbeat.fresh);
+    root.setCanWrite(heartbeat.can_write);
     root.setStateDigest(heartbeat.state_digest);
     auto evidence =
         root.initEvidence(static_cast<unsigned>(heartbeat.evidence.size()));
@@ -222,14 +316,70 @@
     return flatten(message);
 }
 
+std::string encode_change(const account_change& from)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>().initChange();
+    write_process(root.initOwner(), from.owner);
+    root.setAddress(from.address);
+    root.setZone(from.zone);
+    root.setCapacity(from.capacity);
+    root.setSequence(from.sequence);
+    root.setReplaces(from.replaces);
+    write_process(root.initWitness(), from.witness);
+    write_tokens(root.initDrawn(size_of(from.drawn)), from.drawn);
+    write_tokens(root.initUsed(size_of(from.used)), from.used);
+    auto closed = root.initClosed(size_of(from.closed));
+    unsigned i = 0;
+    for (const auto& [owner, ceilings] : from.closed)
+    {
+        write_process(closed[i].initOwner(), owner);
+        write_tokens(closed[i++].initCeilings(size_of(ceilings)), ceilings);
+    }
+    root.setUrgent(from.urgent);
+    return flatten(message);
+}
+
+std::string encode_answer(const account_answer& from)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>().initAnswer();
+    write_process(root.initOwner(), from.owner);
+    root.setSequence(from.sequence);
+    root.setResult(write_result(from.result));
+    root.setWriter(from.writer);
+    root.setRevision(from.revision);
+    root.setHosts(static_cast<std::uint32_t>(from.hosts));
+    write_process(root.initWitness(), from.witness);
+    write_tokens(root.initDrawn(size_of(from.drawn)), from.drawn);
+    auto totals = root.initTotals(size_of(from.totals));
+    unsigned i = 0;
+    for (const auto& [customer, total] : from.totals)
+    {
+        totals[i].setCustomer(customer);
+        totals[i].setDrawn(total.drawn);
+        totals[i++].setUsed(total.used);
+    }
+    return flatten(message);
+}
+
 result<peer_datagram_t> decode_datagram(std::string_view bytes)
 {
     return decode_message<wire::Datagram>(
         bytes, "decode datagram",
         [](wire::Datagram::Reader root) -> peer_datagram_t
         {
-            if (root.isWitness())
+            switch (root.which())
+            {
+            case wire::Datagram::WITNESS:
                 return read_witness(root.getWitness());
+            case wire::Datagram::CHANGE:
+                return read_change(root.getChange());
+            case wire::Datagram::ANSWER:
+                return read_answer(root.getAnswer());
+            case wire::Datagram::BEAT:
+                break;
+            }
             return read_heartbeat(root.getBeat());
         });
 }
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -6,11 +6,12 @@
 #include <variant> // variant
 #include <vector>  // vector
 
-#include <rhubarbgrade/detail/base/error.hpp>           // result
-#include <rhubarbgrade/detail/escrow/witness.hpp>       // witness_message
-#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp> // endpoint_entry
-#include <rhubarbgrade/detail/fleet/move_order.hpp>     // move_order
-#include <rhubarbgrade/detail/moves/evidence.hpp>       // move_evidence_t
+#include <rhubarbgrade/detail/base/error.hpp>            // result
+#include <rhubarbgrade/detail/escrow/account_change.hpp> // account_change
+#include <rhubarbgrade/detail/escrow/witness.hpp>        // witness_message
+#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
+#include <rhubarbgrade/detail/fleet/move_order.hpp>      // move_order
+#include <rhubarbgrade/detail/moves/evidence.hpp>        // move_evidence_t
 
 namespace rhubarbgrade
 {
@@ -33,6 +34,7 @@
     std::string incarnation;
     std::uint64_t configuration = 0; ///< version in force
     bool fresh = false;              ///< the store answered recently
+    bool can_write = false;          ///< the escrow account
     std::uint64_t state_digest = 0;  ///< hash of the endpoints and moves
     std::vector<shared_evidence> evidence;
     crash_counts_t crashes;
@@ -55,10 +57,13 @@
 };
 
 /// @brief Content of one datagram between hosts.
-using peer_datagram_t = std::variant<peer_heartbeat, witness_message>;
+using peer_datagram_t = std::variant<peer_heartbeat, witness_message,
+                                     account_change, account_answer>;
 
 std::string encode_heartbeat(const peer_heartbeat& heartbeat);
 std::string encode_witness(const witness_message& message);
+std::string encode_change(const account_change& change);
+std::string encode_answer(const account_answer& answer);
 
 /// @brief Decodes a datagram.
 /// @return the message, or errc::malformed for bytes that are none
--- a/tests/integration/integration-account.cpp
+++ b/tests/integration/integration-account.cpp
@@ -85,7 +85,6 @@
             return all_hosts_have_witnesses(site);
         },
         60000));
-    int served = 0;
     for (int i = 0; i < host_count; ++i)
         for (const auto* key : {"k1", "k7"})
         {
@@ -93,9 +92,10 @@
                 site.call(host_name(i), "/stream/x",
                           {{"Authorization", std::string("Token ") + key},
                            {"Token-Usage", "495,5"}});
-            served += answer && answer->status == 200 ? 1 : 0;
+            REQUIRE(answer);
+            INFO(host_name(i) << ": " << answer->body);
+            CHECK(answer->status == 200);
         }
-    CHECK(served == 2 * host_count);
     const auto calls = site.store_calls("escrow");
     CHECK(calls["refused"].get<int>() <= writes_to_join * host_count);
 }
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -33,6 +33,9 @@
 
 constexpr std::size_t page_size = 5; // small, so that tests read several pages
 
+// Each open connection occupies a thread; a host keeps up to six.
+constexpr std::size_t max_connections = 300;
+
 struct change
 {
     std::uint64_t revision = 0;
@@ -194,7 +197,7 @@
     {
         m_server.new_task_queue = []
         {
-            return new httplib::ThreadPool(100);
+            return new httplib::ThreadPool(max_connections);
         };
         m_server.set_keep_alive_max_count(1000000);
         m_server.set_pre_routing_handler(
