A budget that leaves the configuration no longer keeps a host without a witness

What callers saw: nothing yet; a host without a witness spends as before, but all that it holds is lost if it is killed.

Cause: a witness is registered once every wallet has reported the current round of limits, and limits were published only for customers with a budget. A wallet of a customer whose budget has left the configuration never reported again, so no witness was registered until the host was restarted.

Limits are now published for all wallets, so the check that lets a witness be registered stays as strict as it was.

--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -162,8 +162,13 @@
 
 void escrow_keeper::publish_budgets()
 {
+    // A customer whose budget has left the configuration may still have a
+    // wallet, which must report that it has applied the current limits.
+    auto budgets = m_budgets;
+    for (const auto& [customer, state] : m_states)
+        budgets.try_emplace(customer, 0);
     budget_statuses_t updates;
-    for (const auto& [customer, prepaid] : m_budgets)
+    for (const auto& [customer, prepaid] : budgets)
     {
         // The traffic thread may already have lowered this holding, so the
         // older, higher value must not be sent to it again.
--- a/tests/integration/integration-account.cpp
+++ b/tests/integration/integration-account.cpp
@@ -69,6 +69,30 @@
 
 } // namespace
 
+TEST_CASE("a budget that leaves the configuration does not keep a host without "
+          "a witness",
+          "[account]")
+{
+    installation site;
+    site.start_replica("i-1", "pool");
+    site.start_host("h1");
+    REQUIRE(wait_until(
+        [&]
+        {
+            const auto holdings = account(site);
+            return holdings.contains("h1") &&
+                   holdings["h1"]["drawn"].contains("clerks");
+        }));
+    site.publish_configuration(2, customers(true));
+    site.start_host("h2");
+    CHECK(wait_until(
+        [&]
+        {
+            const auto holdings = account(site);
+            return holdings.size() == 2 && has_witness(holdings["h1"]);
+        }));
+}
+
 TEST_CASE("hosts that draw at once do not starve each other by refused writes",
           "[account]")
 {
