Give up on an endpoint whose bytes never end

What callers saw: an endpoint in trouble that sends bytes without end held them until their time limit (504), and a stream whose first event never ends was cut without any answer.

Cause: bodies that are not passed on (of late responses to other requests, and of responses without a signature) were read to their end, however long; an event over the limit of the splitter counted as a caller that had disconnected.

Change: such a body is given up after 64 KB, with its connection; an event that is too long counts as a failure of the endpoint, and of a stream of which nothing was written yet the caller is told so (502), or it is resumed elsewhere where the route allows it.

Evidence: integration-node 'an endpoint whose bytes never end', with a stand-in that writes until its peer closes: before, 504 for a stale and an unsigned body (stream and booking each) and no answer for an endless event; an endless header was refused already. It passes now, and each connection is closed.

--- a/src/gateway/answer_writer.cpp
+++ b/src/gateway/answer_writer.cpp
@@ -116,7 +116,10 @@
                         {
                             return append_event(event, complete_events);
                         }))
+    {
+        m_event_too_long = true;
         co_return false;
+    }
     if (complete_events.empty())
         co_return true;
     co_return co_await write_chunk(complete_events);
@@ -135,6 +138,7 @@
 void response_writer::discard_partial_event()
 {
     m_splitter = {};
+    m_event_too_long = false;
 }
 
 } // namespace rhubarbgrade
--- a/src/gateway/answer_writer.hpp
+++ b/src/gateway/answer_writer.hpp
@@ -55,6 +55,13 @@
         return m_begun;
     }
 
+    /// Whether @ref write_body has failed because of the endpoint, not of the
+    /// caller's connection.
+    bool event_too_long() const
+    {
+        return m_event_too_long;
+    }
+
     /// Events accepted for the caller so far.
     std::uint64_t event_count() const
     {
@@ -74,6 +81,7 @@
     boost::asio::ip::tcp::socket& m_socket;
     sse_splitter m_splitter;
     bool m_begun = false;
+    bool m_event_too_long = false;
     std::uint64_t m_event_count = 0;
     std::optional<std::uint64_t> m_last_event_id;
 };
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -40,6 +40,10 @@
 /// Largest response header, in bytes.
 constexpr std::uint32_t max_header_size = 32768;
 
+/// Bytes of one body that are discarded before the connection is given up. An
+/// endpoint in trouble may send without end.
+constexpr std::size_t max_discarded_size = 65536;
+
 /// Responses to other requests that are discarded before the connection is
 /// given up.
 constexpr int max_stale_responses = 4;
@@ -131,14 +135,18 @@
 asio::awaitable<bool> endpoint_attempt::discard_body(parser_t& parser)
 {
     std::array<char, read_buffer_size> scratch{};
+    std::size_t discarded = 0;
     while (!parser.is_done())
     {
+        if (discarded > max_discarded_size)
+            co_return false;
         parser.get().body().data = scratch.data();
         parser.get().body().size = scratch.size();
         const auto [fault, read] = co_await http::async_read_some(
             m_link->socket, m_link->buffer, parser, as_values);
         if (fault && fault != http::error::need_buffer)
             co_return false;
+        discarded += scratch.size() - parser.get().body().size;
     }
     co_return true;
 }
@@ -156,6 +164,10 @@
                 : report.body.size() <= max_buffered_size;
         if (keep_buffering && report.body.size() <= max_buffered_size)
             co_return true;
+        // Nothing is written of a stream whose first event is too long, so the
+        // caller can be told that the endpoint failed.
+        if (keep_buffering)
+            co_return false;
         if (!co_await m_writer.begin(report.status, report.fields,
                                      params.keep_alive))
             co_return false;
@@ -186,7 +198,8 @@
         if (received != 0 &&
             !co_await forward_body(params, {chunk.data(), received}, report))
         {
-            report.forward_failed = true;
+            report.forward_failed =
+                m_writer.begun() && !m_writer.event_too_long();
             co_return;
         }
     }
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -140,6 +140,20 @@
         list_replica(id, service, "ready");
     }
 
+    /// Starts an endpoint whose responses never end and lists it as ready.
+    /// @param[in] mode  kind of the bytes; see the stand-in
+    void start_endless_replica(const std::string& id,
+                               const std::string& service,
+                               const std::string& mode)
+    {
+        m_replicas[id] = std::make_unique<process>(
+            std::vector<std::string>{build_folder() + "/tests/standin_endless",
+                                     "--id=" + id, "--mode=" + mode,
+                                     "--record=" + event_file().string()},
+            log_path(id));
+        list_replica(id, service, "ready");
+    }
+
     /// Sets the state of an endpoint in the store.
     void list_replica(const std::string& id, const std::string& service,
                       const std::string& state) const
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -154,6 +154,47 @@
     }
 }
 
+TEST_CASE("an endpoint whose bytes never end holds no caller until the time "
+          "limit",
+          "[node]")
+{
+    const std::string mode = GENERATE("head", "stale", "unsigned", "event");
+    installation site;
+    site.start_endless_replica("i-1", "pool", mode);
+    site.start_endless_replica("i-2", "desk", mode);
+    site.start_host("h1");
+    INFO(mode);
+    const auto is_closed = [&](const std::string& path)
+    {
+        return wait_until(
+            [&]
+            {
+                return site.runs(path + "#closed").size() ==
+                       site.runs(path).size();
+            });
+    };
+    // 504 would mean that the time limit was reached.
+    const auto stream = site.call("h1", "/stream/x", {{"Token-Usage", "10,5"}});
+    REQUIRE(stream);
+    CHECK(stream->status == 502);
+    CHECK(site.runs("/stream/x").size() == 1);
+    CHECK(is_closed("/stream/x"));
+    if (mode == "event")
+        return; // a plain response of any length is passed on
+    const auto booking = site.call("h1", "/book/x");
+    REQUIRE(booking);
+    CHECK(booking->status == 502);
+    CHECK(site.runs("/book/x").size() == 1);
+    CHECK(is_closed("/book/x"));
+    site.start_replica("i-3", "desk");
+    CHECK(wait_until(
+        [&]
+        {
+            const auto answer = site.call("h1", "/read/x");
+            return answer && answer->status == 200;
+        }));
+}
+
 TEST_CASE("a broken stream resumes at another endpoint without repeated events",
           "[node]")
 {
