Watches are answered on a full link as well

Cause: front-glyfada-7 gets some 230 requests a second, whose bodies fill its link of 10 Mbit/s. Responses of the store took 0.2 s, then over 0.7 s longer than usual, and from second 12 to 26 no watch was answered: each was given up 0.7 s after the store's delay and begun anew.

Change: the margin doubles after a watch without a response, up to 2.8 s, halves with each response, and starts anew when no connection can be made, so that the first call after an outage is not delayed. event=watch_failed logs each failure.

The same file has a round trip of the datagrams of account changes.

--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -1,5 +1,6 @@
 #include "watcher.hpp"
 
+#include <chrono>   // duration_cast
 #include <cstdint>  // uint64_t
 #include <iterator> // make_move_iterator
 #include <optional> // optional
@@ -15,6 +16,7 @@
 #include <spdlog/spdlog.h> // warn
 
 #include "store_client.hpp" // store_client
+#include "watch_margin.hpp" // next_watch_margin
 
 namespace rhubarbgrade
 {
@@ -26,13 +28,11 @@
 {
 
 /// Time for which the store delays its response to a watch (a long poll) if
-/// nothing changes, and the margin after which the call times out. A longer
-/// time needs fewer calls, which the platform charges for. But a dead
-/// connection is found only after the sum of both, which has to stay below the
-/// contact bound, the 3 s after which hosts must act on the store's state
-/// again.
+/// nothing changes. A longer time needs fewer calls, which the platform charges
+/// for. But a dead connection is found only after this time and
+/// min_watch_margin, whose sum has to stay below the contact bound, the 3 s
+/// after which hosts must act on the store's state again.
 constexpr milliseconds watch_wait{2000};
-constexpr milliseconds watch_timeout_margin{700};
 
 /// Time-out for one page of a list, which may have a megabyte.
 constexpr milliseconds list_timeout{1500};
@@ -90,17 +90,25 @@
                                  std::uint64_t revision)
 {
     constexpr unsigned gone = 410;
+    auto margin = min_watch_margin;
     for (;;)
     {
+        const auto started = time_point_t::clock::now();
         const auto response = co_await store.call(
             call_purpose::watch, verb::get,
             platform::watch_target(kind, revision, watch_wait), {},
-            watch_wait + watch_timeout_margin);
+            watch_wait + margin);
+        margin = next_watch_margin(margin, response.end);
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(
+            time_point_t::clock::now() - started);
         listener.answered(response.is(200) || response.is(gone));
         if (response.is(gone))
             co_return;
         if (!response.is(200))
         {
+            spdlog::warn("event=watch_failed kind={} revision={} status={} "
+                         "after_ms={}",
+                         kind, revision, response.status, elapsed.count());
             co_await wait_before_retry();
             continue;
         }
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -14,8 +14,9 @@
 #include <platform/object_decoders.hpp> // decode_deployment
 #include <platform/store_calls.hpp>     // decode_list
 
-#include "../../src/node/crash_pool.hpp"  // crash_pool
-#include "../../src/peers/peer_state.hpp" // decode_datagram
+#include "../../src/node/crash_pool.hpp"    // crash_pool
+#include "../../src/peers/peer_state.hpp"   // decode_datagram
+#include "../../src/store/watch_margin.hpp" // next_watch_margin
 
 using namespace rhubarbgrade;
 
@@ -205,3 +206,79 @@
     CHECK_FALSE(crashes.quarantined().contains(12));
     CHECK(crashes.own(now + std::chrono::minutes(2)).empty());
 }
+
+TEST_CASE("a watch on a slow link is not given up again and again", "[adapter]")
+{
+    auto margin = min_watch_margin;
+    for (int i = 0; i < 5; ++i)
+        margin = next_watch_margin(margin, call_outcome::unknown);
+    CHECK(margin >= milliseconds(2000));
+    const auto longest = margin;
+    CHECK(next_watch_margin(margin, call_outcome::unknown) == longest);
+    CHECK(next_watch_margin(margin, call_outcome::not_sent) ==
+          min_watch_margin);
+    for (int i = 0; i < 5; ++i)
+        margin = next_watch_margin(margin, call_outcome::answered);
+    CHECK(margin == min_watch_margin);
+}
+
+TEST_CASE("changes of the escrow account round-trip through their datagrams",
+          "[adapter]")
+{
+    account_change change;
+    change.owner = {"h1", "1"};
+    change.address = "10.0.0.1:7340";
+    change.zone = "z1";
+    change.capacity = 2.5;
+    change.sequence = 7;
+    change.replaces = "0";
+    change.witness = {"h2", "3"};
+    change.drawn["clerks"] = 900;
+    change.used["clerks"] = 300;
+    change.closed[{"h3", "1"}] = {{"clerks", 40}};
+    change.urgent = true;
+    const auto decoded = decode_datagram(encode_change(change));
+    REQUIRE(decoded);
+    const auto* const received = std::get_if<account_change>(&*decoded);
+    REQUIRE(received != nullptr);
+    CHECK(received->owner == change.owner);
+    CHECK(received->address == change.address);
+    CHECK(received->zone == change.zone);
+    CHECK(received->capacity == change.capacity);
+    CHECK(received->sequence == change.sequence);
+    CHECK(received->replaces == change.replaces);
+    CHECK(received->witness == change.witness);
+    CHECK(received->drawn == change.drawn);
+    CHECK(received->used == change.used);
+    CHECK(received->closed == change.closed);
+    CHECK(received->urgent);
+
+    for (const auto result : {change_result::applied, change_result::known,
+                              change_result::refused, change_result::failed})
+    {
+        account_answer answer;
+        answer.owner = change.owner;
+        answer.sequence = 7;
+        answer.result = result;
+        answer.writer = "h9";
+        answer.revision = 12;
+        answer.hosts = 3;
+        answer.witness = change.witness;
+        answer.drawn = change.drawn;
+        answer.totals["clerks"] = {1000, 300};
+        const auto decoded_answer = decode_datagram(encode_answer(answer));
+        REQUIRE(decoded_answer);
+        const auto* const reply = std::get_if<account_answer>(&*decoded_answer);
+        REQUIRE(reply != nullptr);
+        CHECK(reply->owner == answer.owner);
+        CHECK(reply->sequence == answer.sequence);
+        CHECK(reply->result == result);
+        CHECK(reply->writer == answer.writer);
+        CHECK(reply->revision == answer.revision);
+        CHECK(reply->hosts == answer.hosts);
+        CHECK(reply->witness == answer.witness);
+        CHECK(reply->drawn == answer.drawn);
+        CHECK(reply->totals.at("clerks").drawn == 1000);
+        CHECK(reply->totals.at("clerks").used == 300);
+    }
+}
