Refuse requests while a newer configuration is overdue

Cause: a host knew from heartbeats that it was behind, asked the peer for its state (which failed as well on the full link), and acted on the old version.

Change: if a peer has had a newer version for the bound less 1 s, the host answers 503 with Retry-After and is not ready until the newer one is there. 'Not run' is true, and callers and the balancer go to hosts that have it.

Evidence: integration-node 'a host that lacks its peers' newer configuration' fails on the code before (404 and 200) and passes.

--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -26,8 +26,9 @@
 /// @brief An immutable snapshot of the fleet for the traffic threads.
 struct fleet_view
 {
-    std::shared_ptr<const deployment> configuration; ///< null until one is read
-    std::vector<endpoint_entry> endpoints;           ///< without leaving ones
+    /// Null until one is read, and while a newer one is overdue.
+    std::shared_ptr<const deployment> configuration;
+    std::vector<endpoint_entry> endpoints; ///< without leaving ones
     std::map<std::string, trial_split, std::less<>> splits; ///< by service
     std::size_t hosts = 1; ///< among which fleet-wide limits are divided
     /// Fingerprints of requests that crash endpoints and must not be run.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -183,7 +183,7 @@
 std::optional<local_response> caller_exchange::check_request()
 {
     if (!m_view->configuration)
-        return local_response{unavailable, "no configuration yet",
+        return local_response{unavailable, "no current configuration",
                               random_retry_after()};
     const auto& configuration = *m_view->configuration;
     std::string host;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -1,6 +1,7 @@
 #include "node_control.hpp"
 
 #include <algorithm> // max
+#include <chrono>    // duration_cast
 #include <memory>    // make_shared
 #include <utility>   // move
 
@@ -10,8 +11,9 @@
 #include <spdlog/spdlog.h>              // info, warn
 
 #include <platform/object_decoders.hpp> // decode_deployment, decode_endpoint
-#include <rhubarbgrade/detail/base/address.hpp> // split_address
-#include <rhubarbgrade/detail/base/hash.hpp>    // hash64
+#include <rhubarbgrade/detail/base/address.hpp>            // split_address
+#include <rhubarbgrade/detail/base/hash.hpp>               // hash64
+#include <rhubarbgrade/detail/fleet/configuration_lag.hpp> // configuration_overdue
 
 #include "../store/spawn.hpp" // spawn
 
@@ -281,6 +283,7 @@
     m_configuration = std::make_shared<const deployment>(std::move(*decoded));
     m_configuration_text = spec;
     m_behind_since = {};
+    m_configuration_overdue = false;
     spdlog::info("configuration version {} is in force",
                  m_configuration->version);
     publish();
@@ -307,7 +310,8 @@
 void node_control::publish()
 {
     auto view = std::make_shared<fleet_view>();
-    view->configuration = m_endpoints_known ? m_configuration : nullptr;
+    if (m_endpoints_known && !m_configuration_overdue)
+        view->configuration = m_configuration;
     view->endpoints = usable_endpoints(m_endpoints, time_point_t::clock::now());
     view->splits = m_moves.splits();
     view->hosts = m_host_count;
@@ -431,6 +435,20 @@
         m_moves.record_sample(each);
 }
 
+void node_control::check_configuration(time_point_t now)
+{
+    const bool overdue = configuration_overdue(m_behind_since, now,
+                                               m_settings.bounds.config_apply);
+    if (overdue == m_configuration_overdue)
+        return;
+    m_configuration_overdue = overdue;
+    spdlog::warn(
+        "event=configuration_overdue version={} behind_ms={}",
+        m_configuration ? m_configuration->version : 0,
+        std::chrono::duration_cast<milliseconds>(now - m_behind_since).count());
+    publish();
+}
+
 asio::awaitable<void> node_control::tick()
 {
     asio::steady_timer timer(m_loop);
@@ -452,6 +470,7 @@
                          m_store.calls(call_purpose::move));
         }
         m_moves.tick(now);
+        check_configuration(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
         if (endpoints != m_published_endpoints || next_splits != splits)
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -89,6 +89,7 @@
     peer_heartbeat make_heartbeat();
     peer_state make_state() const;
     void publish();
+    void check_configuration(time_point_t now);
     boost::asio::awaitable<void> tick();
 
     boost::asio::io_context& m_loop;
@@ -108,6 +109,7 @@
     std::size_t m_host_count = assumed_host_count;
     time_point_t m_store_answered_at{}; ///< last response of the store
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
+    bool m_configuration_overdue = false; ///< refuses requests meanwhile
     bool m_endpoints_known = false;
 
     /// Fleet size that limits are divided by until the account in the store has
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -11,10 +11,14 @@
 
 #include <unistd.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "../../src/peers/peer_state.hpp"
 #include "installation.hpp"
 
 using harness::installation;
@@ -333,6 +337,43 @@
             }));
 }
 
+TEST_CASE("a host that lacks its peers' newer configuration refuses and denies "
+          "nothing",
+          "[node]")
+{
+    installation site;
+    site.start_replica("i-1", "desk");
+    site.start_host("h1");
+    CHECK(site.call("h1", "/none/")->status == 404);
+    rhubarbgrade::peer_heartbeat heartbeat;
+    heartbeat.host = "h2";
+    heartbeat.configuration = 9;
+    const auto bytes = rhubarbgrade::encode_heartbeat(heartbeat);
+    boost::asio::io_context loop;
+    boost::asio::ip::udp::socket socket(
+        loop, {boost::asio::ip::address_v4::loopback(), 0});
+    socket.send_to(boost::asio::buffer(bytes),
+                   {boost::asio::ip::address_v4::loopback(),
+                    static_cast<std::uint16_t>(site.host("h1").port("peers"))});
+    CHECK(wait_until(
+        [&]
+        {
+            const auto answer = site.call("h1", "/none/");
+            return answer && answer->status == 503 &&
+                   answer->has_header("Retry-After");
+        }));
+    CHECK_FALSE(site.ready("h1"));
+    CHECK(site.call("h1", "/read/x")->status == 503);
+    site.publish_configuration(9, {});
+    CHECK(wait_until(
+        [&]
+        {
+            return site.ready("h1");
+        }));
+    CHECK(site.call("h1", "/read/x")->status == 200);
+    CHECK(site.call("h1", "/none/")->status == 404);
+}
+
 TEST_CASE("a graceful stop completes the requests in flight", "[node]")
 {
     installation site;
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -7,12 +7,13 @@
 
 #include <catch2/catch.hpp>
 
-#include <rhubarbgrade/detail/fleet/deployment.hpp>     // find_route
-#include <rhubarbgrade/detail/fleet/endpoint_book.hpp>  // endpoint_registry
-#include <rhubarbgrade/detail/moves/trial.hpp>          // decide_trial
-#include <rhubarbgrade/detail/placing/place.hpp>        // place
-#include <rhubarbgrade/detail/routing/repeat.hpp>       // may_repeat
-#include <rhubarbgrade/detail/routing/shared_retry.hpp> // acquire_retry
+#include <rhubarbgrade/detail/fleet/configuration_lag.hpp> // configuration_overdue
+#include <rhubarbgrade/detail/fleet/deployment.hpp>        // find_route
+#include <rhubarbgrade/detail/fleet/endpoint_book.hpp>     // endpoint_registry
+#include <rhubarbgrade/detail/moves/trial.hpp>             // decide_trial
+#include <rhubarbgrade/detail/placing/place.hpp>           // place
+#include <rhubarbgrade/detail/routing/repeat.hpp>          // may_repeat
+#include <rhubarbgrade/detail/routing/shared_retry.hpp>    // acquire_retry
 
 using namespace rhubarbgrade;
 using std::chrono::seconds;
@@ -270,3 +271,15 @@
     CHECK(decision.target_share == 0);
     CHECK_FALSE(decision.reason.empty());
 }
+
+TEST_CASE(
+    "an outdated configuration is not acted on when a peer has a newer one",
+    "[fleet]")
+{
+    const time_point_t start{std::chrono::hours(1)};
+    constexpr milliseconds bound{3000};
+    CHECK_FALSE(configuration_overdue({}, start, bound));
+    CHECK_FALSE(
+        configuration_overdue(start, start + milliseconds(1900), bound));
+    CHECK(configuration_overdue(start, start + milliseconds(2000), bound));
+}
