--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -52,6 +52,18 @@
     return found == tokens.end() ? 0 : found->second;
 }
 
+/// Adds the totals that a change raises, as if it were applied.
+void add_raises(const account_change& change, token_map_t& drawn,
+                budget_totals_t& totals)
+{
+    for (const auto& [customer, tokens] : change.drawn)
+    {
+        auto& total = drawn[customer];
+        totals[customer].drawn += tokens > total ? tokens - total : 0;
+        total = std::max(total, tokens);
+    }
+}
+
 } // namespace
 
 escrow_keeper::escrow_keeper(const asio::any_io_executor& executor,
@@ -308,16 +320,22 @@
     m_failed_writers = 0;
 }
 
+const account_change* escrow_keeper::pending_change() const
+{
+    return m_view.pending ? &*m_view.pending : nullptr;
+}
+
 /// Makes a change if holdings are too small or too large, or other data of this
 /// host in the account has to change. A change that is not settled is extended
 /// only if callers wait for more.
 void escrow_keeper::plan_change()
 {
+    const auto* const unsettled = pending_change();
     const auto current = states_with_fleet_rates();
     auto change = make_change();
     for (const auto& [customer, state] : m_states)
         change.urgent = change.urgent || state.waiting != 0;
-    if (m_view.pending && !change.urgent)
+    if (unsettled != nullptr && !change.urgent)
         return;
     const auto known = m_view.book.hosts[m_identity.process.host].drawn;
     auto drawn = known;
@@ -326,13 +344,8 @@
     for (const auto& [customer, tokens] : change.drawn)
         drawn[customer] = tokens;
     auto totals = m_view.totals;
-    if (m_view.pending)
-        for (const auto& [customer, tokens] : m_view.pending->drawn)
-        {
-            auto& total = drawn[customer];
-            totals[customer].drawn += tokens > total ? tokens - total : 0;
-            total = std::max(total, tokens);
-        }
+    if (unsettled != nullptr)
+        add_raises(*unsettled, drawn, totals);
     token_map_t oversized;
     const auto draw = [&](double threshold)
     {
@@ -340,7 +353,7 @@
                            threshold, m_lowering, oversized);
     };
     changed = draw(m_policy.low_watermark) || changed;
-    if (!m_view.pending)
+    if (unsettled == nullptr)
     {
         change.closed = ceilings_of_ended(m_view.book, m_identity.process,
                                           m_witnesses.confirmed_for_others());
@@ -355,7 +368,7 @@
     }
     if (!changed)
     {
-        if (!m_view.pending)
+        if (unsettled == nullptr)
             request_lowering(oversized);
         return;
     }
@@ -369,7 +382,7 @@
     for (const auto& [customer, state] : m_states)
         if (state.used != 0 && change.used.size() < max_customers)
             change.used[customer] = state.used;
-    if (!m_view.pending)
+    if (unsettled == nullptr)
         m_failed_writers = 0;
     set_pending(m_view, std::move(change));
     update_usable();
@@ -454,6 +467,13 @@
     m_running = false;
 }
 
+/// Makes a change the pending one without what an unsettled one contains.
+void escrow_keeper::replace_pending(account_change change)
+{
+    m_view.pending.reset();
+    set_pending(m_view, std::move(change));
+}
+
 asio::awaitable<void> escrow_keeper::close(wallet_states_t final_states)
 {
     m_closing = true;
@@ -479,11 +499,10 @@
     }
     // The wallets are frozen, so an earlier change can't be spent from any
     // more.
-    m_view.pending.reset();
-    set_pending(m_view, std::move(change));
+    replace_pending(std::move(change));
     const auto give_up_at = time_point_t::clock::now() + final_answer_timeout;
     const auto writer = choose_writer_now();
-    while (writer != m_identity.process.host && m_view.pending &&
+    while (writer != m_identity.process.host && pending_change() != nullptr &&
            time_point_t::clock::now() < give_up_at)
     {
         send_pending(writer);
@@ -491,13 +510,14 @@
         co_await poll.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     constexpr int max_attempts = 5;
-    for (int i = 0; i < max_attempts && m_view.pending && owns_holding(); ++i)
+    for (int i = 0;
+         i < max_attempts && pending_change() != nullptr && owns_holding(); ++i)
     {
         if (m_stale)
             co_await refresh(false);
         co_await write_changes(false);
     }
-    if (m_view.pending)
+    if (pending_change() != nullptr)
         spdlog::warn(
             "unused tokens of {} remain drawn: the store accepted no write",
             m_identity.process.host);
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -163,6 +163,8 @@
     wallet_states_t states_with_fleet_rates() const;
     void add_returns(account_change& change);
     void plan_join();
+    const account_change* pending_change() const;
+    void replace_pending(account_change change);
     void plan_change();
     account_change make_change() const;
     void request_lowering(const token_map_t& targets);
