Log broken connections and crashes with endpoint, request and prompt parts

Callers lost answers to crashing endpoints, and the only line of a crash named a hash of the request: which endpoint, how far the answer was and which prompt parts the requests share could not be seen, so the hypotheses of the incident could not be told apart.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>   // max, min
 #include <chrono>      // duration_cast
+#include <cmath>       // lround
 #include <memory>      // make_shared
 #include <string>      // string
 #include <string_view> // string_view
 #include <utility>     // move
 
+#include <spdlog/fmt/fmt.h> // format
+#include <spdlog/spdlog.h>  // warn
+
 #include <rhubarbgrade/detail/base/hash.hpp>      // hash64
 #include <rhubarbgrade/detail/routing/repeat.hpp> // may_repeat
 
@@ -89,6 +93,15 @@
     return head.answer_tokens_limit;
 }
 
+/// The ids of prompt parts in order, for the log.
+std::string format_parts(const std::vector<platform::prompt_part>& parts)
+{
+    std::string text;
+    for (const auto& each : parts)
+        text += fmt::format("{}{:x}", text.empty() ? "" : ",", each.id);
+    return text;
+}
+
 /// Counts the cause of a refusal for want of tokens.
 void count_shortage(traffic_counters& counters, reserve_result outcome)
 {
@@ -384,8 +397,17 @@
             endpoint, report.complete && report.status < first_server_error,
             now);
         if (report.connection_broken)
+        {
+            spdlog::warn("event=connection_broken request={} endpoint={} "
+                         "fingerprint={:016x} parts={} status={} latency_ms={} "
+                         "events={}",
+                         m_head.id, endpoint.entry.id, fingerprint(),
+                         format_parts(m_head.parts), report.status,
+                         std::lround(report.latency_s * 1000),
+                         m_writer.event_count());
             endpoint_directory::record_broken_connection(endpoint,
                                                          fingerprint(), now);
+        }
     }
     record_sample(endpoint, report);
     if (report.complete)
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/steady_timer.hpp>  // steady_timer
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
+#include <spdlog/spdlog.h>              // warn
 
 #include <platform/caller_codec.hpp>             // response_head, prompt_part
 #include <rhubarbgrade/detail/base/hash.hpp>     // hash64
@@ -276,7 +277,12 @@
 {
     for (const auto& each : endpoint.broken_requests)
         if (now - each.at < crash_window)
+        {
+            spdlog::warn("event=endpoint_crashed endpoint={} "
+                         "fingerprint={:016x}",
+                         endpoint.entry.id, each.fingerprint);
             m_on_crash(each.fingerprint);
+        }
     endpoint.broken_requests.clear();
 }
 
