Failing test: a prompt part that crashes endpoints goes on reaching them

Three hosts, ten endpoints, sound requests with the same customer and first part. The stand-in crashes as its answer begins, restarts after 1.2 s and lists itself again.

--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>     // atomic
 #include <cstdlib>    // getenv
 #include <filesystem> // path, temp_directory_path
 #include <fstream>    // ifstream, ofstream
@@ -154,6 +155,23 @@
         list_replica(id, service, "ready");
     }
 
+    /// Starts an endpoint that crashes on a prompt part; it lists itself.
+    void start_crashing_replica(const std::string& id,
+                                const std::string& service,
+                                const std::string& part,
+                                const std::vector<std::string>& options = {})
+    {
+        std::vector<std::string> command{
+            build_folder() + "/tests/standin_crashing",
+            "--id=" + id,
+            "--service=" + service,
+            "--part=" + part,
+            "--store=" + std::to_string(m_store->port()),
+            "--record=" + event_file().string()};
+        command.insert(command.end(), options.begin(), options.end());
+        m_replicas[id] = std::make_unique<process>(command, log_path(id));
+    }
+
     /// Sets the state of an endpoint in the store.
     void list_replica(const std::string& id, const std::string& service,
                       const std::string& state) const
@@ -253,7 +271,7 @@
 
     static std::string next_id()
     {
-        static int id = 0;
+        static std::atomic<int> id = 0;
         return "r" + std::to_string(++id);
     }
 
