A stream that ends with its connection inside an event is broken off

An answer without a length ends with its connection, so the end of the connection of a crashed endpoint looked like the end of the answer. A whole stream ends with the blank line of its last event; one that does not is now treated like one whose connection broke: 502 if nothing was passed on, resumed elsewhere if the route allows it, else cut off.

The stand-in can crash after some events now.

--- a/src/gateway/answer_writer.hpp
+++ b/src/gateway/answer_writer.hpp
@@ -49,6 +49,12 @@
     /// @brief Discards an incomplete event after its endpoint has failed.
     void discard_partial_event();
 
+    /// Whether an incomplete event is buffered.
+    bool has_partial_event() const
+    {
+        return !m_splitter.rest().empty();
+    }
+
     /// Whether a part of the response may have been written already.
     bool begun() const
     {
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -206,6 +206,12 @@
     report.complete = true;
 }
 
+bool endpoint_attempt::ends_inside_event(const attempt_report& report) const
+{
+    return m_writer.begun() ? m_writer.has_partial_event()
+                            : !report.body.empty();
+}
+
 void endpoint_attempt::classify(const platform::response_head& head,
                                 bool forwardable, attempt_report& report)
 {
@@ -254,6 +260,11 @@
         body_params.is_event_stream =
             params.is_event_stream && is_success(report.status);
         co_await read_body(body_params, *parser, report);
+        // Without a length, only the events tell a whole stream from one whose
+        // endpoint has crashed.
+        if (body_params.is_event_stream && parser->need_eof() &&
+            ends_inside_event(report))
+            report.complete = false;
         report.streamed = report.complete && m_writer.begun();
         reusable = report.complete;
         report.connection_broken = !report.complete && !report.forward_failed;
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -76,6 +76,9 @@
                                               std::string_view bytes,
                                               attempt_report& report);
     boost::asio::awaitable<bool> discard_body(parser_t& parser);
+    /// Whether the part of an event stream received so far ends within an
+    /// event.
+    bool ends_inside_event(const attempt_report& report) const;
     static void classify(const platform::response_head& head, bool forwardable,
                          attempt_report& report);
 
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -227,6 +227,40 @@
     CHECK(site.runs("/stream/y").size() == 1);
 }
 
+TEST_CASE(
+    "a stream that ends with its connection inside an event is broken off",
+    "[node]")
+{
+    installation site;
+    site.start_crashing_replica("i-1", "pool", "bad", {"--close_delimited"});
+    site.start_crashing_replica("i-2", "pool", "bad",
+                                {"--close_delimited", "--crash_after=2"});
+    site.start_host("h1");
+    int whole = 0;
+    int refused = 0;
+    int cut = 0;
+    CHECK(wait_until(
+        [&]
+        {
+            const auto sound = site.call("h1", "/stream/x");
+            if (sound && sound->status == 200)
+            {
+                CHECK(sound->body == stream_text(1, 6));
+                ++whole;
+            }
+            const auto broken = site.call(
+                "h1", "/stream/y",
+                {{"Prefix-Hash", site.next_id().substr(1) + "bad:9,e1:1"}});
+            // Nothing of the first event has been passed on, or two events.
+            CHECK_FALSE((broken && broken->status == 200));
+            if (!broken)
+                ++cut;
+            else if (broken->status == 502)
+                ++refused;
+            return whole > 0 && refused > 0 && cut > 0;
+        }));
+}
+
 TEST_CASE(
     "hosts do not overspend a shared budget across restarts and lost writes",
     "[node]")
--- a/tests/standin/crashing.cpp
+++ b/tests/standin/crashing.cpp
@@ -37,6 +37,7 @@
 DEFINE_string(part, "", "part that crashes the engine");
 DEFINE_int32(store, 0, "port of the store");
 DEFINE_int32(events, 6, "events of a stream");
+DEFINE_int32(crash_after, 0, "events before the crash");
 DEFINE_int32(gap_ms, 30, "time before each event");
 DEFINE_int32(restart_ms, 1200, "time from a crash to the restart");
 DEFINE_bool(close_delimited, false, "responses end with their connection");
@@ -149,7 +150,7 @@
         standin::delay(milliseconds(FLAGS_gap_ms));
         const auto event = "id: " + std::to_string(i) + "\ndata: piece" +
                            std::to_string(i) + "\n\n";
-        if (crashes)
+        if (crashes && i > FLAGS_crash_after)
         {
             event_log().append(
                 {{"event", "crash"},
