--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -31,8 +31,12 @@
     std::vector<endpoint_entry> endpoints; ///< without leaving ones
     std::map<std::string, trial_split, std::less<>> splits; ///< by service
     std::size_t hosts = 1; ///< among which fleet-wide limits are divided
-    /// Fingerprints of requests that crash endpoints and must not be run.
-    std::set<std::uint64_t> quarantined;
+    /// Prompt parts and requests that may have crashed an endpoint, by id or
+    /// fingerprint; whole answers to them are reported.
+    std::set<std::uint64_t> crash_suspects;
+    /// Those that must not be run, with the number of the trial that this host
+    /// has to make with each; 0: none.
+    std::map<std::uint64_t, int> quarantined;
 };
 
 using fleet_view_ptr_t = std::shared_ptr<const fleet_view>;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -11,8 +11,9 @@
 #include <spdlog/fmt/fmt.h> // format
 #include <spdlog/spdlog.h>  // warn
 
-#include <rhubarbgrade/detail/base/hash.hpp>      // hash64
-#include <rhubarbgrade/detail/routing/repeat.hpp> // may_repeat
+#include <rhubarbgrade/detail/base/hash.hpp>              // hash64
+#include <rhubarbgrade/detail/routing/crash_evidence.hpp> // admit
+#include <rhubarbgrade/detail/routing/repeat.hpp>         // may_repeat
 
 namespace rhubarbgrade
 {
@@ -42,6 +43,10 @@
 /// long, because a retry will be refused as well.
 constexpr milliseconds quarantine_retry_after{5000};
 
+/// A request whose answer has run for longer has not crashed its endpoint:
+/// crashes come as an answer begins.
+constexpr milliseconds answer_start_time{1000};
+
 /// A request may wait for tokens or for a free endpoint for its route's latency
 /// objective divided by this number.
 constexpr int wait_divisor = 2;
@@ -93,6 +98,12 @@
     return head.answer_tokens_limit;
 }
 
+local_response quarantine_response()
+{
+    return {unavailable, "requests like this one have crashed endpoints",
+            quarantine_retry_after};
+}
+
 /// The ids of prompt parts in order, for the log.
 std::string format_parts(const std::vector<platform::prompt_part>& parts)
 {
@@ -186,11 +197,33 @@
     co_return co_await m_writer.write_complete(std::move(message));
 }
 
-std::uint64_t caller_exchange::fingerprint() const
+crash_suspects_t caller_exchange::suspects() const
 {
+    crash_suspects_t all;
+    const auto& parts = m_head.parts;
+    // The last part is the request's own.
+    for (std::uint32_t i = 0; i + 1 < parts.size(); ++i)
+        all[parts[i].id].depth = i;
     const std::string_view target(m_request.target().data(),
                                   m_request.target().size());
-    return hash64(m_request.body(), hash64(target, hash64(m_head.key)));
+    all[hash64(m_request.body(), hash64(target, hash64(m_head.key)))].depth =
+        static_cast<std::uint32_t>(parts.size());
+    return all;
+}
+
+bool caller_exchange::is_quarantined()
+{
+    const auto& quarantined = m_context.view->quarantined;
+    if (quarantined.empty() || m_is_trial)
+        return false;
+    const auto own = suspects();
+    const auto decision = admit(own, quarantined, m_context.trials);
+    m_is_trial = decision.is_trial;
+    if (decision.suspect)
+        spdlog::info("event={} request={} suspect={:x} sends={}",
+                     m_is_trial ? "quarantine_trial" : "quarantine_refusal",
+                     m_head.id, *decision.suspect, m_tried.size());
+    return decision.suspect && !m_is_trial;
 }
 
 std::optional<local_response> caller_exchange::check_request()
@@ -208,10 +241,8 @@
         m_customer = find_customer(configuration, m_head.key);
     if (configuration.keys_needed && !m_route->open && m_customer == nullptr)
         return local_response{unauthorized, "unknown key", {}};
-    if (!m_view->quarantined.empty() &&
-        m_view->quarantined.contains(fingerprint()))
-        return local_response{unavailable, "the request has crashed endpoints",
-                              quarantine_retry_after};
+    if (is_quarantined())
+        return quarantine_response();
     m_service = pick_service(*m_route, m_context.random);
     const auto wait = m_head.deadline
                           ? std::min(*m_head.deadline, m_route->timeout)
@@ -289,6 +320,8 @@
 
 bool caller_exchange::may_repeat(const attempt_report& report)
 {
+    if (m_is_trial)
+        return false;
     const auto now = time_point_t::clock::now();
     retry_context question;
     question.kind = m_route->kind;
@@ -382,7 +415,31 @@
     co_return report;
 }
 
-void caller_exchange::record_attempt(pool_endpoint& endpoint,
+void caller_exchange::record_crash_evidence(const endpoint_ptr_t& endpoint,
+                                            const attempt_report& report)
+{
+    if (report.connection_broken)
+    {
+        spdlog::warn("event=connection_broken request={} endpoint={} parts={} "
+                     "status={} latency_ms={} events={}",
+                     m_head.id, endpoint->entry.id, format_parts(m_head.parts),
+                     report.status, std::lround(report.latency_s * 1000),
+                     m_writer.event_count());
+        m_context.detector.on_broken_answer(endpoint, report.answer_time <
+                                                              answer_start_time
+                                                          ? suspects()
+                                                          : crash_suspects_t{});
+        return;
+    }
+    if (!report.complete)
+        return;
+    if (report.close_delimited && report.answer_time < answer_start_time)
+        m_context.detector.on_closed_answer(endpoint, suspects());
+    else if (!m_context.view->crash_suspects.empty())
+        m_context.detector.on_whole_answer(suspects());
+}
+
+void caller_exchange::record_attempt(const endpoint_ptr_t& endpoint,
                                      const attempt_report& report)
 {
     const auto now = time_point_t::clock::now();
@@ -394,30 +451,20 @@
     if (!m_disconnected && !m_deadline_passed)
     {
         m_context.directory.record_result(
-            endpoint, report.complete && report.status < first_server_error,
+            *endpoint, report.complete && report.status < first_server_error,
             now);
-        if (report.connection_broken)
-        {
-            spdlog::warn("event=connection_broken request={} endpoint={} "
-                         "fingerprint={:016x} parts={} status={} latency_ms={} "
-                         "events={}",
-                         m_head.id, endpoint.entry.id, fingerprint(),
-                         format_parts(m_head.parts), report.status,
-                         std::lround(report.latency_s * 1000),
-                         m_writer.event_count());
-            endpoint_directory::record_broken_connection(endpoint,
-                                                         fingerprint(), now);
-        }
+        record_crash_evidence(endpoint, report);
     }
-    record_sample(endpoint, report);
+    record_sample(*endpoint, report);
     if (report.complete)
         for (const auto& part : m_head.parts)
-            endpoint.recent_parts.record(part.id, now);
+            endpoint->recent_parts.record(part.id, now);
 }
 
 asio::awaitable<bool> caller_exchange::serve()
 {
     attempt_report report;
+    bool quarantined = false;
     for (;;)
     {
         const auto endpoint = co_await wait_for_endpoint();
@@ -425,8 +472,12 @@
             co_return false;
         if (!endpoint)
             break;
+        // It may have been quarantined since it arrived.
+        quarantined = is_quarantined();
+        if (quarantined)
+            break;
         report = co_await attempt(endpoint);
-        record_attempt(*endpoint, report);
+        record_attempt(endpoint, report);
         if (m_disconnected || report.forward_failed)
             co_return false;
         const bool success =
@@ -443,7 +494,9 @@
     local_response response{m_deadline_passed ? gateway_timeout : bad_gateway,
                             "the request may have run",
                             {}};
-    if (!m_may_have_run)
+    if (!m_may_have_run && quarantined)
+        response = quarantine_response();
+    else if (!m_may_have_run)
     {
         ++m_context.counters.no_endpoint;
         response = {unavailable, "no endpoint can take the request now",
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>  // uint64_t
 #include <memory>   // enable_shared_from_this, shared_ptr
 #include <optional> // optional
 #include <string>   // string
@@ -10,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <platform/caller_codec.hpp> // response_head, call_head
+#include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_suspects_t
 
 #include "answer_writer.hpp"    // response_writer
 #include "caller_session.hpp"   // caller_request_t, caller_session
@@ -55,15 +55,22 @@
     platform::forward_head
     make_forward_head(const pool_endpoint& endpoint) const;
     boost::asio::awaitable<attempt_report> attempt(endpoint_ptr_t endpoint);
-    void record_attempt(pool_endpoint& endpoint, const attempt_report& report);
+    void record_attempt(const endpoint_ptr_t& endpoint,
+                        const attempt_report& report);
     boost::asio::awaitable<bool> finish(attempt_report report);
     /// Determines the route, customer, service and deadline of the request.
     /// Returns the response if it must be refused.
     std::optional<local_response> check_request();
     bool may_repeat(const attempt_report& report);
     void start_deadline_timer();
-    /// Hash of key, target and body; identifies the request for the quarantine.
-    std::uint64_t fingerprint() const;
+    /// The prompt parts that the request shares with others, and the request as
+    /// a whole, identified by a hash of key, target and body.
+    crash_suspects_t suspects() const;
+    /// Whether the request must not be run, unless it is the trial of this
+    /// host.
+    bool is_quarantined();
+    void record_crash_evidence(const endpoint_ptr_t& endpoint,
+                               const attempt_report& report);
     /// Releases the reservation; charges the prompt and the events written.
     void settle();
     void record_sample(const pool_endpoint& endpoint,
@@ -86,6 +93,7 @@
     std::vector<endpoint_ptr_t> m_tried;
     token_count_t m_reserved_tokens = 0; ///< 0 if nothing is reserved
     bool m_may_have_run = false;
+    bool m_is_trial = false; ///< runs in spite of a quarantine
     bool m_disconnected = false;
     bool m_deadline_passed = false;
     bool m_closes_connection = false;
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -268,6 +268,8 @@
         report.streamed = report.complete && m_writer.begun();
         reusable = report.complete;
         report.connection_broken = !report.complete && !report.forward_failed;
+        report.close_delimited = parser->need_eof();
+        report.answer_time = time_point_t::clock::now() - now;
     }
     else
         reusable = co_await discard_body(*parser);
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -33,7 +33,10 @@
     bool streamed = false; ///< the whole body has been written to the caller
     bool forward_failed = false;    ///< no more can be written to the caller
     bool connection_broken = false; ///< before the response was complete
+    bool close_delimited = false;   ///< the body ends with its connection
     double latency_s = -1; ///< to the response header; below 0 if none came
+    /// From the response header to the end of the attempt; 0 if none came.
+    time_point_t::duration answer_time{};
 };
 
 /// @brief Input of an attempt; the references must outlive it.
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/steady_timer.hpp>  // steady_timer
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
-#include <spdlog/spdlog.h>              // warn
 
 #include <platform/caller_codec.hpp>             // response_head, prompt_part
 #include <rhubarbgrade/detail/base/hash.hpp>     // hash64
@@ -52,10 +51,6 @@
 /// Time constant, in seconds, of the exponential decay of a reported load.
 constexpr double load_decay_s = 1.0;
 
-/// An endpoint that can't be reached within this time after a connection broke
-/// counts as crashed. A crashed endpoint takes some seconds to restart.
-constexpr milliseconds crash_window{1500};
-
 /// Hash by which requests with a common prompt prefix go to the same endpoints;
 /// 0 if the request has no prompt parts.
 std::uint64_t affinity_of(std::span<const platform::prompt_part> parts)
@@ -121,13 +116,11 @@
 
 } // namespace
 
-endpoint_directory::endpoint_directory(
-    asio::any_io_executor executor, std::string zone, random_source_t random,
-    std::function<void(std::uint64_t)> on_crash)
+endpoint_directory::endpoint_directory(asio::any_io_executor executor,
+                                       std::string zone, random_source_t random)
     : m_executor(std::move(executor)),
       m_zone(std::move(zone)),
-      m_random(std::move(random)),
-      m_on_crash(std::move(on_crash))
+      m_random(std::move(random))
 {
 }
 
@@ -241,9 +234,15 @@
         if (now - link->idle_since < limit && is_alive(link->socket))
             co_return link;
     }
+    co_return (co_await open_connection(endpoint)).link;
+}
+
+asio::awaitable<open_result>
+endpoint_directory::open_connection(endpoint_ptr_t endpoint)
+{
     const auto address = to_endpoint(endpoint->entry.address);
     if (!address)
-        co_return nullptr;
+        co_return open_result{};
     auto link = std::make_shared<endpoint_link>(m_executor);
     asio::steady_timer connect_timer(m_executor, connect_timeout);
     connect_timer.async_wait(
@@ -257,33 +256,10 @@
         *address, asio::as_tuple(asio::use_awaitable));
     const bool in_time = connect_timer.cancel() != 0;
     if (!in_time || fault)
-    {
-        report_crashes(*endpoint, time_point_t::clock::now());
-        co_return nullptr;
-    }
+        co_return open_result{nullptr,
+                              fault == asio::error::connection_refused};
     set_tcp_options(link->socket);
-    co_return link;
-}
-
-void endpoint_directory::record_broken_connection(pool_endpoint& endpoint,
-                                                  std::uint64_t fingerprint,
-                                                  time_point_t now)
-{
-    endpoint.broken_requests.push_back({fingerprint, now});
-}
-
-void endpoint_directory::report_crashes(pool_endpoint& endpoint,
-                                        time_point_t now)
-{
-    for (const auto& each : endpoint.broken_requests)
-        if (now - each.at < crash_window)
-        {
-            spdlog::warn("event=endpoint_crashed endpoint={} "
-                         "fingerprint={:016x}",
-                         endpoint.entry.id, each.fingerprint);
-            m_on_crash(each.fingerprint);
-        }
-    endpoint.broken_requests.clear();
+    co_return open_result{std::move(link), false};
 }
 
 void endpoint_directory::return_connection(pool_endpoint& endpoint,
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
 #include <span>          // span
@@ -38,17 +37,21 @@
     bool repeatable = false;
 };
 
+/// @brief Result of opening a connection.
+struct open_result
+{
+    endpoint_link_ptr_t link; ///< null if none could be established in time
+    bool refused = false;     ///< nothing listens at the endpoint's address
+};
+
 /// @brief The endpoints of all services, with their health as this host sees it
 ///        and its idle connections to them. Used by the traffic thread only.
 class endpoint_directory
 {
 public:
-    /// @param[in] zone      this host's availability zone
-    /// @param[in] on_crash  called with the fingerprint of each request that an
-    ///                      endpoint was running when it crashed
+    /// @param[in] zone  this host's availability zone
     endpoint_directory(boost::asio::any_io_executor executor, std::string zone,
-                       random_source_t random,
-                       std::function<void(std::uint64_t)> on_crash);
+                       random_source_t random);
 
     /// @brief Applies a new view of the fleet. An endpoint that has restarted
     ///        or has another address loses its history and connections.
@@ -67,6 +70,10 @@
     boost::asio::awaitable<endpoint_link_ptr_t> connect(endpoint_ptr_t endpoint,
                                                         bool fresh_only);
 
+    /// @brief Opens a new connection.
+    boost::asio::awaitable<open_result>
+    open_connection(endpoint_ptr_t endpoint);
+
     /// @brief Returns a connection for reuse after a complete response.
     ///
     /// It is closed if the endpoint is no longer listed or has enough idle
@@ -78,12 +85,6 @@
     ///        and ejects the endpoint after repeated failures.
     void record_result(pool_endpoint& endpoint, bool success, time_point_t now);
 
-    /// @brief Records that a connection broke while it carried a request. The
-    ///        endpoint counts as crashed if it can't be reached soon after.
-    static void record_broken_connection(pool_endpoint& endpoint,
-                                         std::uint64_t fingerprint,
-                                         time_point_t now);
-
     /// @brief Records the load that an endpoint has reported in a response, if
     ///        the response contains one.
     static void record_load(pool_endpoint& endpoint,
@@ -101,11 +102,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::string m_zone;
-    /// Called when the endpoint can't be reached.
-    void report_crashes(pool_endpoint& endpoint, time_point_t now);
-
     random_source_t m_random;
-    std::function<void(std::uint64_t)> m_on_crash;
     fleet_view_ptr_t m_view;
     std::unordered_map<std::string, endpoint_ptr_t> m_by_id;
     std::map<std::string, std::vector<endpoint_ptr_t>, std::less<>>
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -49,15 +49,6 @@
     double reported_load = 0; ///< requests per slot
     time_point_t reported_at{};
     recent_prompt_parts recent_parts;
-
-    /// A request whose connection broke before its response was complete.
-    struct broken_request
-    {
-        std::uint64_t fingerprint = 0;
-        time_point_t at{};
-    };
-
-    std::vector<broken_request> broken_requests;
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -14,6 +14,7 @@
 #include <rhubarbgrade/detail/routing/choose.hpp>       // random_source_t
 #include <rhubarbgrade/detail/routing/shared_retry.hpp> // retry_counts
 
+#include "crash_detector.hpp"     // crash_detector
 #include "endpoint_directory.hpp" // endpoint_directory
 #include "room_queue.hpp"         // endpoint_wait_queue
 #include "wallet_table.hpp"       // wallet_table
@@ -48,6 +49,7 @@
     std::uint64_t unconfirmed = 0; ///< the witness has not confirmed enough
     std::uint64_t no_draws = 0;    ///< the store takes no draws at present
     std::uint64_t no_endpoint = 0; ///< no endpoint has a free slot
+    std::uint64_t quarantined = 0; ///< has crashed endpoints
 };
 
 /// @brief State shared by all sessions; used by the traffic thread only.
@@ -58,12 +60,12 @@
                     const random_source_t& with_random,
                     std::function<void()> on_tokens_needed,
                     std::function<void(const version_sample&)> sample_handler,
-                    std::function<void(std::uint64_t)> on_crash)
+                    crash_listener crashes)
         : executor(with_executor),
           bounds(with_settings.bounds),
           random(with_random),
-          directory(with_executor, with_settings.zone, with_random,
-                    std::move(on_crash)),
+          directory(with_executor, with_settings.zone, with_random),
+          detector(with_executor, directory, std::move(crashes)),
           wallets(with_executor, std::move(on_tokens_needed)),
           wait_queue(with_executor),
           on_sample(std::move(sample_handler))
@@ -75,10 +77,13 @@
     random_source_t random;
     fleet_view_ptr_t view = std::make_shared<fleet_view>();
     endpoint_directory directory;
+    crash_detector detector;
     wallet_table wallets;
     endpoint_wait_queue wait_queue;
     std::function<void(const version_sample&)> on_sample;
     std::map<std::string, retry_counts, std::less<>> retries; ///< by service
+    /// Number of the last trial made with a quarantined suspect, by its id.
+    std::map<std::uint64_t, int> trials;
     traffic_counters counters;
     std::set<caller_session*> sessions; ///< running; they remove themselves
     std::size_t in_flight = 0;          ///< requests of callers
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -79,10 +79,11 @@
               if (m_context.view->splits.contains(sample.service))
                   m_samples.push_back(sample);
           },
-          [this](std::uint64_t fingerprint)
-          {
-              m_control.crashed(fingerprint);
-          }),
+          {m_control.crashes.crashed,
+           [this](const std::set<std::uint64_t>& ids)
+           {
+               report_cleared(ids);
+           }}),
       m_caller_acceptor(loop),
       m_readiness_acceptor(loop)
 {
@@ -134,6 +135,16 @@
     m_control.lowered(m_context.wallets.lower(holdings));
 }
 
+void traffic_loop::report_cleared(const std::set<std::uint64_t>& ids)
+{
+    std::set<std::uint64_t> suspects;
+    for (const auto each : ids)
+        if (m_context.view->crash_suspects.contains(each))
+            suspects.insert(each);
+    if (!suspects.empty())
+        m_control.crashes.cleared(suspects);
+}
+
 void traffic_loop::send_wallet_states()
 {
     m_send_pending = false;
@@ -201,11 +212,13 @@
     const auto& counters = m_context.counters;
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
-                 "unconfirmed={} no_draws={} no_endpoint={} in_flight={}",
+                 "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
+                 "in_flight={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
-                 counters.no_draws, counters.no_endpoint, m_context.in_flight);
+                 counters.no_draws, counters.no_endpoint, counters.quarantined,
+                 m_context.in_flight);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional> // function
+#include <set>        // set
 #include <string>     // string
 #include <vector>     // vector
 
@@ -26,8 +27,8 @@
     std::function<void(token_map_t)> lowered;
     /// Results of attempts at services with a running move.
     std::function<void(std::vector<version_sample>)> samples;
-    /// Fingerprint of a request that an endpoint was running as it crashed.
-    std::function<void(std::uint64_t)> crashed;
+    /// Crashes of endpoints, and requests that were answered whole.
+    crash_listener crashes;
 };
 
 /// @brief The traffic thread: accepts callers' connections, and serves the
@@ -84,6 +85,7 @@
     void listen(tcp_t::acceptor& acceptor_socket,
                 const socket_address& address);
     void send_wallet_states();
+    void report_cleared(const std::set<std::uint64_t>& ids);
     void log_counters() const;
     bool ready() const;
 
--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -1,7 +1,13 @@
 #include "crash_pool.hpp"
 
-#include <chrono>  // seconds
-#include <utility> // move
+#include <algorithm> // all_of, any_of, max, min
+#include <chrono>    // duration_cast, hours, seconds
+#include <utility>   // move
+#include <vector>    // vector
+
+#include <rhubarbgrade/detail/base/hash.hpp> // hash64
+
+#include <spdlog/spdlog.h> // info, warn
 
 namespace rhubarbgrade
 {
@@ -9,62 +15,236 @@
 namespace
 {
 
-/// Crashes, summed over all hosts, at which a request is quarantined.
-constexpr std::uint32_t quarantine_threshold = 3;
-
-/// Time since a request's last crash after which its local count is dropped.
+/// Time for which a crash counts.
 constexpr std::chrono::seconds crash_retention{60};
 
+/// Time after which a quarantine ends, whatever its trials have shown.
+constexpr std::chrono::hours quarantine_time{1};
+
+/// Time for which a release is published, so that all peers receive it.
+constexpr std::chrono::seconds release_retention{60};
+
+/// Time in which the reports of other hosts on a crash arrive.
+constexpr milliseconds settle_time{200};
+
+/// Time for which a crash is published although a quarantine explains it: a
+/// peer may find another explanation.
+constexpr std::chrono::seconds explained_retention{5};
+
+/// Peers that have been silent for longer make no trials.
+constexpr std::chrono::seconds peer_timeout{2};
+
+/// Tolerance for the times of the same event at two hosts.
+constexpr std::chrono::seconds clock_tolerance{1};
+
+/// Most suspects published at a time, which take about 6 KB.
+constexpr std::size_t max_shared_suspects = 256;
+
+milliseconds age_of(time_point_t at, time_point_t now)
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::max(now - at, time_point_t::duration::zero()));
+}
+
 } // namespace
 
-bool crash_pool::update_quarantine()
-{
-    crash_counts_t sums;
-    for (const auto& [fingerprint, each] : m_local_counts)
-        sums[fingerprint] += each.count;
-    for (const auto& [peer, counts] : m_peer_counts)
-        for (const auto& [fingerprint, count] : counts)
-            sums[fingerprint] += count;
-    std::set<std::uint64_t> over_threshold;
-    for (const auto& [fingerprint, count] : sums)
-        if (count >= quarantine_threshold)
-            over_threshold.insert(fingerprint);
-    if (over_threshold == m_quarantined)
-        return false;
-    m_quarantined = std::move(over_threshold);
-    return true;
+crash_pool::crash_pool(std::string host) : m_host(std::move(host))
+{
+}
+
+std::set<std::uint64_t> crash_pool::in_quarantine() const
+{
+    std::set<std::uint64_t> ids;
+    for (const auto& [id, each] : m_quarantine)
+        if (!each.released)
+            ids.insert(id);
+    return ids;
+}
+
+void crash_pool::update_quarantine(time_point_t now)
+{
+    auto settled = m_crashes;
+    std::erase_if(settled,
+                  [now](const auto& each)
+                  {
+                      return now - each.second.at < settle_time;
+                  });
+    // A quarantine that rests on the reports of a few hosts can turn out wrong
+    // when the others arrive.
+    const auto causes = find_crash_causes(settled, {});
+    for (const auto id : in_quarantine())
+        if (is_exonerated(id, settled, causes))
+            release(id, now);
+    for (const auto id : find_crash_causes(settled, in_quarantine()))
+    {
+        m_quarantine[id] = {now, false, {}};
+        spdlog::warn("event=quarantined suspect={:x} crashes={}", id,
+                     m_crashes.size());
+    }
+}
+
+void crash_pool::release(std::uint64_t suspect, time_point_t now)
+{
+    const auto found = m_quarantine.find(suspect);
+    if (found == m_quarantine.end() || found->second.released)
+        return;
+    found->second.released = true;
+    found->second.released_at = now;
+    for (auto& [process, crash] : m_crashes)
+        if (const auto each = crash.suspects.find(suspect);
+            each != crash.suspects.end())
+            each->second.cleared = true;
+    spdlog::info("event=quarantine_released suspect={:x} age_ms={}", suspect,
+                 age_of(found->second.since, now).count());
+}
+
+void crash_pool::record_crash(std::uint64_t process,
+                              const crash_suspects_t& suspects,
+                              time_point_t now)
+{
+    auto [found, is_new] = m_crashes.try_emplace(process);
+    if (is_new)
+        found->second.at = now;
+    for (const auto& [id, suspect] : suspects)
+        found->second.suspects.try_emplace(id, suspect);
+}
+
+void crash_pool::clear(std::uint64_t suspect, time_point_t now)
+{
+    for (auto& [process, crash] : m_crashes)
+        if (const auto each = crash.suspects.find(suspect);
+            each != crash.suspects.end())
+            each->second.cleared = true;
+    release(suspect, now);
 }
 
-bool crash_pool::note(std::uint64_t fingerprint, time_point_t now)
+void crash_pool::merge_quarantine(const shared_quarantine& known,
+                                  time_point_t now)
 {
-    auto& entry = m_local_counts[fingerprint];
-    ++entry.count;
-    entry.last_crash = now;
-    return update_quarantine();
+    const auto since = now - known.age;
+    const auto found = m_quarantine.find(known.suspect);
+    if (known.released)
+    {
+        if (found != m_quarantine.end() &&
+            since + clock_tolerance >= found->second.since)
+            release(known.suspect, now);
+        return;
+    }
+    if (found != m_quarantine.end() &&
+        (!found->second.released ||
+         since < found->second.released_at + clock_tolerance))
+        return;
+    m_quarantine[known.suspect] = {since, false, {}};
 }
 
-bool crash_pool::set_peer_counts(const std::string& peer,
-                                 const crash_counts_t& counts, time_point_t now)
+void crash_pool::merge(const std::string& peer, const shared_crashes& known,
+                       time_point_t now)
 {
-    static_cast<void>(own(now)); // discards expired local counts
-    auto& stored = m_peer_counts[peer];
-    if (stored == counts)
-        return false;
-    stored = counts;
-    return update_quarantine();
+    m_peers[peer] = now;
+    for (const auto& each : known.quarantined)
+        merge_quarantine(each, now);
+    for (const auto& each : known.crashes)
+    {
+        if (each.age > crash_retention || each.suspects.empty())
+            continue;
+        const auto at = now - each.age;
+        auto [found, is_new] = m_crashes.try_emplace(each.process);
+        auto& crash = found->second;
+        crash.at = is_new ? at : std::min(crash.at, at);
+        for (const auto& [id, suspect] : each.suspects)
+            if (const auto [mine, added] =
+                    crash.suspects.try_emplace(id, suspect);
+                !added && suspect.cleared)
+                mine->second.cleared = true;
+    }
 }
 
-crash_counts_t crash_pool::own(time_point_t now)
+shared_crashes crash_pool::shared(time_point_t now) const
 {
-    std::erase_if(m_local_counts,
+    shared_crashes all;
+    for (const auto& [id, each] : m_quarantine)
+        all.quarantined.push_back({id, age_of(each.since, now), each.released});
+    const auto causes = in_quarantine();
+    std::vector<const crash_records_t::value_type*> newest_first;
+    for (const auto& each : m_crashes)
+        if (now - each.second.at < explained_retention ||
+            std::none_of(each.second.suspects.begin(),
+                         each.second.suspects.end(),
+                         [&](const auto& suspect)
+                         {
+                             return causes.contains(suspect.first);
+                         }))
+            newest_first.push_back(&each);
+    std::sort(newest_first.begin(), newest_first.end(),
+              [](const auto* left, const auto* right)
+              {
+                  return left->second.at > right->second.at;
+              });
+    std::size_t suspects = 0;
+    for (const auto* each : newest_first)
+    {
+        suspects += each->second.suspects.size();
+        if (suspects > max_shared_suspects)
+            break;
+        all.crashes.push_back(
+            {each->first, age_of(each->second.at, now), each->second.suspects});
+    }
+    return all;
+}
+
+void crash_pool::update(time_point_t now)
+{
+    std::erase_if(m_crashes,
+                  [now](const auto& each)
+                  {
+                      return now - each.second.at > crash_retention;
+                  });
+    std::erase_if(m_quarantine,
                   [now](const auto& each)
                   {
-                      return now - each.second.last_crash > crash_retention;
+                      return each.second.released
+                                 ? now - each.second.released_at >
+                                       release_retention
+                                 : now - each.second.since > quarantine_time;
                   });
-    crash_counts_t counts;
-    for (const auto& [fingerprint, each] : m_local_counts)
-        counts[fingerprint] = each.count;
-    return counts;
+    std::erase_if(m_peers,
+                  [now](const auto& each)
+                  {
+                      return now - each.second > peer_timeout;
+                  });
+    update_quarantine(now);
+}
+
+std::set<std::uint64_t> crash_pool::suspected() const
+{
+    auto ids = in_quarantine();
+    for (const auto& [process, crash] : m_crashes)
+        for (const auto& [id, suspect] : crash.suspects)
+            if (!suspect.cleared)
+                ids.insert(id);
+    return ids;
+}
+
+bool crash_pool::makes_trial(std::uint64_t suspect, time_point_t now) const
+{
+    const auto own = hash64(m_host, suspect);
+    return std::all_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto& peer)
+                       {
+                           return now - peer.second > peer_timeout ||
+                                  hash64(peer.first, suspect) < own;
+                       });
+}
+
+std::map<std::uint64_t, int> crash_pool::quarantined(time_point_t now) const
+{
+    std::map<std::uint64_t, int> trials;
+    for (const auto id : in_quarantine())
+    {
+        const auto age = age_of(m_quarantine.at(id).since, now);
+        trials[id] = makes_trial(id, now) ? quarantine_trials(age) : 0;
+    }
+    return trials;
 }
 
 } // namespace rhubarbgrade
--- a/src/node/crash_pool.hpp
+++ b/src/node/crash_pool.hpp
@@ -1,56 +1,75 @@
 #pragma once
 
-#include <cstdint> // uint32_t, uint64_t
+#include <cstdint> // uint64_t
 #include <map>     // map
 #include <set>     // set
 #include <string>  // string
 
-#include <rhubarbgrade/detail/base/types.hpp> // time_point_t
+#include <rhubarbgrade/detail/base/types.hpp>             // time_point_t
+#include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_records_t
 
-#include "../peers/peer_state.hpp" // crash_counts_t
+#include "../peers/peer_state.hpp" // shared_crashes
 
 namespace rhubarbgrade
 {
 
-/// @brief Counts endpoint crashes by the fingerprint of the request that ran,
-///        over all hosts, and quarantines requests that crash repeatedly.
+/// @brief Collects the crashes of endpoints from all hosts, and quarantines
+///        prompt parts and requests that crash endpoints repeatedly.
 ///
-/// Used on the control thread only.
+/// Each host publishes all that it knows, so that crashes stay known when the
+/// host that saw them is gone. Used on the control thread only.
 class crash_pool
 {
 public:
-    /// @brief Counts an endpoint crash that this host observed.
-    /// @param[in] fingerprint  of the request that the endpoint was running
-    /// @return whether the quarantined set has changed
-    bool note(std::uint64_t fingerprint, time_point_t now);
-
-    /// @brief Replaces the crash counts that a peer has published.
-    /// @return whether the quarantined set has changed
-    bool set_peer_counts(const std::string& peer, const crash_counts_t& counts,
-                         time_point_t now);
-
-    /// @brief Crashes that this host observed itself, for its peers. Discards
-    ///        requests whose last crash was over a minute ago.
-    crash_counts_t own(time_point_t now);
-
-    /// @brief Fingerprints of the requests that must not run again.
-    const std::set<std::uint64_t>& quarantined() const
-    {
-        return m_quarantined;
-    }
+    /// @param[in] host  name of this host
+    explicit crash_pool(std::string host);
+
+    /// @brief Records an endpoint crash that this host observed.
+    /// @param[in] process   hash of the endpoint's process
+    /// @param[in] suspects  of the requests that this host had there
+    void record_crash(std::uint64_t process, const crash_suspects_t& suspects,
+                      time_point_t now);
+
+    /// @brief Clears a suspect after a request with it was answered whole, and
+    ///        releases it from quarantine.
+    void clear(std::uint64_t suspect, time_point_t now);
+
+    /// @brief Adds what a peer knows.
+    void merge(const std::string& peer, const shared_crashes& known,
+               time_point_t now);
+
+    /// @brief What this host knows, for its peers.
+    shared_crashes shared(time_point_t now) const;
+
+    /// @brief Decides on the quarantine, and discards what has expired; to be
+    ///        called a few times a second.
+    void update(time_point_t now);
+
+    /// @brief Suspects that are not cleared of all crashes, or in quarantine.
+    std::set<std::uint64_t> suspected() const;
+
+    /// @brief Suspects in quarantine, with the number of the trial that this
+    ///        host has to make with each; 0: none.
+    std::map<std::uint64_t, int> quarantined(time_point_t now) const;
 
 private:
-    struct local_count
+    struct quarantine_entry
     {
-        std::uint32_t count = 0;
-        time_point_t last_crash{};
+        time_point_t since{};
+        bool released = false;
+        time_point_t released_at{};
     };
 
-    bool update_quarantine();
+    std::set<std::uint64_t> in_quarantine() const;
+    void update_quarantine(time_point_t now);
+    void release(std::uint64_t suspect, time_point_t now);
+    void merge_quarantine(const shared_quarantine& known, time_point_t now);
+    bool makes_trial(std::uint64_t suspect, time_point_t now) const;
 
-    std::map<std::uint64_t, local_count> m_local_counts;
-    std::map<std::string, crash_counts_t> m_peer_counts;
-    std::set<std::uint64_t> m_quarantined;
+    std::string m_host;
+    crash_records_t m_crashes;
+    std::map<std::uint64_t, quarantine_entry> m_quarantine;
+    std::map<std::string, time_point_t> m_peers; ///< last heartbeat
 };
 
 } // namespace rhubarbgrade
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -84,12 +84,21 @@
                            control.record_samples(samples);
                        });
         };
-        callbacks.crashed = [this](std::uint64_t fingerprint)
+        callbacks.crashes.crashed =
+            [this](std::uint64_t process, const crash_suspects_t& suspects)
         {
             asio::post(control_io,
-                       [this, fingerprint]
+                       [this, process, suspects]
                        {
-                           control.record_crash(fingerprint);
+                           control.record_crash(process, suspects);
+                       });
+        };
+        callbacks.crashes.cleared = [this](const std::set<std::uint64_t>& ids)
+        {
+            asio::post(control_io,
+                       [this, ids]
+                       {
+                           control.clear_suspects(ids);
                        });
         };
         return callbacks;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -1,6 +1,6 @@
 #include "node_control.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // includes, max
 #include <chrono>    // duration_cast
 #include <memory>    // make_shared
 #include <utility>   // move
@@ -65,7 +65,8 @@
                   make_witness_callbacks()),
       m_escrow(loop.get_executor(), m_store, m_witnesses, m_identity,
                make_escrow_listener()),
-      m_moves(loop.get_executor(), m_store)
+      m_moves(loop.get_executor(), m_store),
+      m_crashes(settings.host)
 {
 }
 
@@ -315,7 +316,8 @@
     view->endpoints = usable_endpoints(m_endpoints, time_point_t::clock::now());
     view->splits = m_moves.splits();
     view->hosts = m_host_count;
-    view->quarantined = m_crashes.quarantined();
+    view->crash_suspects = m_published_suspects;
+    view->quarantined = m_published_quarantine;
     m_traffic.publish_view(std::move(view));
 }
 
@@ -356,7 +358,7 @@
     heartbeat.can_write = m_escrow.can_write();
     heartbeat.state_digest = state_digest();
     heartbeat.evidence = m_moves.evidence();
-    heartbeat.crashes = m_crashes.own(now);
+    heartbeat.crashes = m_crashes.shared(now);
     return heartbeat;
 }
 
@@ -379,8 +381,8 @@
     m_escrow.record_heartbeat(heartbeat.host, heartbeat.can_write);
     for (const auto& each : heartbeat.evidence)
         m_moves.set_peer_evidence(heartbeat.host, each);
-    if (m_crashes.set_peer_counts(heartbeat.host, heartbeat.crashes, now))
-        publish();
+    m_crashes.merge(heartbeat.host, heartbeat.crashes, now);
+    publish_crashes(now);
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
     {
@@ -410,13 +412,36 @@
     publish();
 }
 
-void node_control::record_crash(std::uint64_t fingerprint)
+void node_control::record_crash(std::uint64_t process,
+                                const crash_suspects_t& suspects)
 {
-    spdlog::warn("an endpoint crashed while it ran the request with "
-                 "fingerprint {:016x}",
-                 fingerprint);
-    if (m_crashes.note(fingerprint, time_point_t::clock::now()))
-        publish();
+    const auto now = time_point_t::clock::now();
+    m_crashes.record_crash(process, suspects, now);
+    m_peers.hasten_heartbeat();
+    publish_crashes(now);
+}
+
+void node_control::clear_suspects(const std::set<std::uint64_t>& ids)
+{
+    const auto now = time_point_t::clock::now();
+    for (const auto each : ids)
+        m_crashes.clear(each, now);
+    publish_crashes(now);
+}
+
+void node_control::publish_crashes(time_point_t now)
+{
+    auto suspects = m_crashes.suspected();
+    auto quarantine = m_crashes.quarantined(now);
+    // A suspect that has been cleared meanwhile does no harm in the view.
+    if (quarantine == m_published_quarantine &&
+        suspects.empty() == m_published_suspects.empty() &&
+        std::includes(m_published_suspects.begin(), m_published_suspects.end(),
+                      suspects.begin(), suspects.end()))
+        return;
+    m_published_suspects = std::move(suspects);
+    m_published_quarantine = std::move(quarantine);
+    publish();
 }
 
 void node_control::update_wallet_states(wallet_states_t states)
@@ -470,6 +495,8 @@
                          m_store.calls(call_purpose::move));
         }
         m_moves.tick(now);
+        m_crashes.update(now);
+        publish_crashes(now);
         check_configuration(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -3,6 +3,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
+#include <set>        // set
 #include <string>     // string
 
 #include <boost/asio/awaitable.hpp>    // awaitable
@@ -64,8 +65,12 @@
     /// @brief Adds answered and failed attempts to the evidence on moves.
     void record_samples(const std::vector<version_sample>& samples);
 
-    /// @brief Counts an endpoint crash under the request that was running.
-    void record_crash(std::uint64_t fingerprint);
+    /// @brief Records the crash of an endpoint's process, with the suspects of
+    ///        the requests that this host had there.
+    void record_crash(std::uint64_t process, const crash_suspects_t& suspects);
+
+    /// @brief Requests with these suspects were answered whole.
+    void clear_suspects(const std::set<std::uint64_t>& ids);
 
     /// @brief Returns unused tokens to the store, then calls @a done.
     /// @param[in] final_states  of the wallets when traffic has ended
@@ -89,6 +94,8 @@
     peer_heartbeat make_heartbeat();
     peer_state make_state() const;
     void publish();
+    /// Publishes if the quarantine has changed or there are new suspects.
+    void publish_crashes(time_point_t now);
     void check_configuration(time_point_t now);
     boost::asio::awaitable<void> tick();
 
@@ -106,6 +113,8 @@
     std::shared_ptr<const deployment> m_configuration;
     std::string m_configuration_text; ///< as stored, for peers
     std::vector<endpoint_entry> m_published_endpoints;
+    std::set<std::uint64_t> m_published_suspects;
+    std::map<std::uint64_t, int> m_published_quarantine;
     std::size_t m_host_count = assumed_host_count;
     time_point_t m_store_answered_at{}; ///< last response of the store
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -3,12 +3,11 @@
 #include <array>   // array
 #include <memory>  // make_shared
 #include <string>  // string
-#include <utility> // move
+#include <utility> // exchange, move
 #include <variant> // get, get_if
 
 #include <boost/asio/as_tuple.hpp>          // as_tuple
 #include <boost/asio/buffer.hpp>            // buffer
-#include <boost/asio/steady_timer.hpp>      // steady_timer
 #include <boost/asio/use_awaitable.hpp>     // use_awaitable
 #include <boost/beast/http/empty_body.hpp>  // empty_body
 #include <boost/beast/http/read.hpp>        // async_read
@@ -35,6 +34,9 @@
 /// hosts within 2 s, even if one or two heartbeats are lost.
 constexpr milliseconds heartbeat_period{500};
 
+/// Time from an event that peers must know at once to the heartbeat.
+constexpr milliseconds hastened_period{50};
+
 /// A peer's state is a few kilobytes.
 constexpr milliseconds state_request_timeout{700};
 
@@ -50,7 +52,8 @@
       m_settings(settings),
       m_listener(std::move(listener)),
       m_socket(loop),
-      m_acceptor(loop)
+      m_acceptor(loop),
+      m_heartbeat_timer(loop)
 {
     const auto local = to_endpoint(m_settings.peers);
     if (!local)
@@ -86,11 +89,17 @@
 
 asio::awaitable<void> peer_exchange::send_heartbeats()
 {
-    asio::steady_timer timer(m_loop);
     for (;;)
     {
-        timer.expires_after(heartbeat_period);
-        co_await timer.async_wait(as_values);
+        m_heartbeat_timer.expires_after(heartbeat_period);
+        co_await m_heartbeat_timer.async_wait(as_values);
+        if (m_heartbeat_hastened)
+        {
+            // What else happens at the same moment goes into the same one.
+            m_heartbeat_timer.expires_after(hastened_period);
+            co_await m_heartbeat_timer.async_wait(as_values);
+            m_heartbeat_hastened = false;
+        }
         if (m_peers.empty())
             continue;
         const auto bytes = encode_heartbeat(m_listener.current_heartbeat());
@@ -174,6 +183,13 @@
     }
 }
 
+void peer_exchange::hasten_heartbeat()
+{
+    if (std::exchange(m_heartbeat_hastened, true))
+        return;
+    m_heartbeat_timer.cancel();
+}
+
 void peer_exchange::request_state(const std::string& host)
 {
     const auto found = m_peers.find(host);
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -8,10 +8,11 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include <boost/asio/awaitable.hpp>  // awaitable
-#include <boost/asio/io_context.hpp> // io_context
-#include <boost/asio/ip/tcp.hpp>     // tcp
-#include <boost/asio/ip/udp.hpp>     // udp
+#include <boost/asio/awaitable.hpp>    // awaitable
+#include <boost/asio/io_context.hpp>   // io_context
+#include <boost/asio/ip/tcp.hpp>       // tcp
+#include <boost/asio/ip/udp.hpp>       // udp
+#include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // node_settings
 
@@ -75,6 +76,9 @@
     void send(const socket_address& address, const account_change& change);
     void send(const socket_address& address, const account_answer& answer);
 
+    /// @brief Sends the next heartbeat soon instead of at its time.
+    void hasten_heartbeat();
+
     /// @brief Requests a host's state, unless a request to any host is in
     ///        progress. On failure nothing is reported; the next heartbeat
     ///        triggers a new request.
@@ -96,8 +100,10 @@
     peer_listener m_listener;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_heartbeat_timer;
     std::map<std::string, socket_address> m_peers;
     bool m_fetching = false; ///< a state request is in progress
+    bool m_heartbeat_hastened = false;
 };
 
 } // namespace rhubarbgrade
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -29,10 +29,25 @@
   routes @2 :List(RouteEvidence);
 }
 
-# Endpoint crashes by the fingerprint of the request that ran.
-struct Crashes {
-  fingerprint @0 :UInt64;
-  count @1 :UInt32;
+# A prompt part or a whole request that may have crashed an endpoint.
+struct Suspect {
+  id @0 :UInt64;
+  depth @1 :UInt32;          # position in the prompt
+  cleared @2 :Bool;          # answered whole after the crash
+}
+
+# The crash of one process of an endpoint.
+struct Crash {
+  process @0 :UInt64;        # hash of the endpoint's id and start
+  ageMs @1 :UInt32;
+  suspects @2 :List(Suspect);
+}
+
+# A suspect that must not be run.
+struct Quarantine {
+  suspect @0 :UInt64;
+  ageMs @1 :UInt32;
+  released @2 :Bool;         # proved harmless since
 }
 
 # Heartbeat, sent to each peer several times a second.
@@ -43,8 +58,9 @@
   fresh @3 :Bool;            # the store answered the sender recently
   stateDigest @4 :UInt64;    # hash of the sender's endpoints and moves
   evidence @5 :List(MoveEvidence);
-  crashes @6 :List(Crashes);
+  crashes @6 :List(Crash);
   canWrite @7 :Bool;         # the sender can write the escrow account
+  quarantined @8 :List(Quarantine);
 }
 
 # One run of a host's process; each start has a new incarnation.
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -19,7 +19,9 @@
 CAPNP_DECLARE_SCHEMA(c92e8d70ebb13fd4);
 CAPNP_DECLARE_SCHEMA(e4dff01175f74acb);
 CAPNP_DECLARE_SCHEMA(d1cb9ff972db62ed);
-CAPNP_DECLARE_SCHEMA(c0289304f0b25a7d);
+CAPNP_DECLARE_SCHEMA(b83d3370620868a9);
+CAPNP_DECLARE_SCHEMA(a1d2fce334b28115);
+CAPNP_DECLARE_SCHEMA(cfcfe6e90e6a56a7);
 CAPNP_DECLARE_SCHEMA(feb5e87063845c5c);
 CAPNP_DECLARE_SCHEMA(af4f3e7e93d9b8eb);
 CAPNP_DECLARE_SCHEMA(db60faeca94cec2c);
@@ -93,15 +95,45 @@
   };
 };
 
-struct Crashes {
-  Crashes() = delete;
+struct Suspect {
+  Suspect() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0289304f0b25a7d, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b83d3370620868a9, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1d2fce334b28115, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Quarantine {
+  Quarantine() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cfcfe6e90e6a56a7, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -116,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -635,9 +667,186 @@
 };
 #endif  // !CAPNP_LITE
 
-class Crashes::Reader {
+class Suspect::Reader {
+public:
+  typedef Suspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getDepth() const;
+
+  inline bool getCleared() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspect::Builder {
+public:
+  typedef Suspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getDepth();
+  inline void setDepth( ::uint32_t value);
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspect::Pipeline {
+public:
+  typedef Suspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Quarantine::Reader {
 public:
-  typedef Crashes Reads;
+  typedef Quarantine Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -652,9 +861,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getSuspect() const;
 
-  inline  ::uint32_t getCount() const;
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getReleased() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -668,9 +879,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Crashes::Builder {
+class Quarantine::Builder {
 public:
-  typedef Crashes Builds;
+  typedef Quarantine Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -684,11 +895,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
+  inline  ::uint64_t getSuspect();
+  inline void setSuspect( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline bool getReleased();
+  inline void setReleased(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -700,9 +914,9 @@
 };
 
 #if !CAPNP_LITE
-class Crashes::Pipeline {
+class Quarantine::Pipeline {
 public:
-  typedef Crashes Pipelines;
+  typedef Quarantine Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -749,10 +963,13 @@
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
   inline bool hasCrashes() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
   inline bool getCanWrite() const;
 
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -812,15 +1029,22 @@
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
 
   inline bool hasCrashes();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder getCrashes();
-  inline void setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
-  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>> disownCrashes();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
   inline bool getCanWrite();
   inline void setCanWrite(bool value);
 
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2560,34 +2784,152 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Crashes::Reader::getFingerprint() const {
+inline  ::uint64_t Suspect::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspect::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspect::Reader::getDepth() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspect::Builder::getDepth() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setDepth( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspect::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspect::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crash::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader Crash::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crash::Builder::setSuspects( ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crash::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>> Crash::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Quarantine::Reader::getSuspect() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crashes::Builder::getFingerprint() {
+inline  ::uint64_t Quarantine::Builder::getSuspect() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Crashes::Builder::setFingerprint( ::uint64_t value) {
+inline void Quarantine::Builder::setSuspect( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crashes::Reader::getCount() const {
+inline  ::uint32_t Quarantine::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crashes::Builder::getCount() {
+inline  ::uint32_t Quarantine::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Crashes::Builder::setCount( ::uint32_t value) {
+inline void Quarantine::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Quarantine::Reader::getReleased() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Quarantine::Builder::getReleased() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setReleased(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2740,29 +3082,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Beat::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crashes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
@@ -2780,6 +3122,40 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuarantined( ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Process::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -17,6 +17,11 @@
 
 namespace wire = peer_protocol;
 
+unsigned size_of(const auto& container)
+{
+    return static_cast<unsigned>(container.size());
+}
+
 void write_sums(wire::Sums::Builder to, const sample_sums& from)
 {
     to.setRequests(from.requests);
@@ -141,6 +146,55 @@
     }
 }
 
+shared_crash read_crash(wire::Crash::Reader from)
+{
+    shared_crash decoded{from.getProcess(), milliseconds(from.getAgeMs()), {}};
+    for (const auto each : from.getSuspects())
+        decoded.suspects[each.getId()] = {each.getDepth(), each.getCleared()};
+    return decoded;
+}
+
+void write_crash(wire::Crash::Builder to, const shared_crash& from)
+{
+    to.setProcess(from.process);
+    to.setAgeMs(static_cast<std::uint32_t>(from.age.count()));
+    auto suspects = to.initSuspects(size_of(from.suspects));
+    unsigned i = 0;
+    for (const auto& [id, suspect] : from.suspects)
+    {
+        suspects[i].setId(id);
+        suspects[i].setDepth(suspect.depth);
+        suspects[i++].setCleared(suspect.cleared);
+    }
+}
+
+shared_crashes read_crashes(wire::Beat::Reader from)
+{
+    shared_crashes decoded;
+    for (const auto each : from.getCrashes())
+        decoded.crashes.push_back(read_crash(each));
+    for (const auto each : from.getQuarantined())
+        decoded.quarantined.push_back({each.getSuspect(),
+                                       milliseconds(each.getAgeMs()),
+                                       each.getReleased()});
+    return decoded;
+}
+
+void write_crashes(wire::Beat::Builder to, const shared_crashes& from)
+{
+    auto crashes = to.initCrashes(size_of(from.crashes));
+    for (unsigned i = 0; i < crashes.size(); ++i)
+        write_crash(crashes[i], from.crashes[i]);
+    auto quarantined = to.initQuarantined(size_of(from.quarantined));
+    for (unsigned i = 0; i < quarantined.size(); ++i)
+    {
+        const auto& each = from.quarantined[i];
+        quarantined[i].setSuspect(each.suspect);
+        quarantined[i].setAgeMs(static_cast<std::uint32_t>(each.age.count()));
+        quarantined[i].setReleased(each.released);
+    }
+}
+
 peer_heartbeat read_heartbeat(wire::Beat::Reader root)
 {
     peer_heartbeat heartbeat;
@@ -152,8 +206,7 @@
     heartbeat.state_digest = root.getStateDigest();
     for (const auto each : root.getEvidence())
         heartbeat.evidence.push_back(read_evidence(each));
-    for (const auto each : root.getCrashes())
-        heartbeat.crashes[each.getFingerprint()] = each.getCount();
+    heartbeat.crashes = read_crashes(root);
     return heartbeat;
 }
 
@@ -198,11 +251,6 @@
     return tokens;
 }
 
-unsigned size_of(const auto& container)
-{
-    return static_cast<unsigned>(container.size());
-}
-
 account_change read_change(wire::Change::Reader from)
 {
     account_change decoded;
@@ -287,14 +335,7 @@
         root.initEvidence(static_cast<unsigned>(heartbeat.evidence.size()));
     for (unsigned i = 0; i < evidence.size(); ++i)
         write_evidence(evidence[i], heartbeat.evidence[i]);
-    auto crashes =
-        root.initCrashes(static_cast<unsigned>(heartbeat.crashes.size()));
-    unsigned i = 0;
-    for (const auto& [fingerprint, count] : heartbeat.crashes)
-    {
-        crashes[i].setFingerprint(fingerprint);
-        crashes[i++].setCount(count);
-    }
+    write_crashes(root, heartbeat.crashes);
     return flatten(message);
 }
 
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <cstdint> // uint32_t, uint64_t
-#include <map>     // map
+#include <cstdint> // uint64_t
 #include <string>  // string
 #include <variant> // variant
 #include <vector>  // vector
 
-#include <rhubarbgrade/detail/base/error.hpp>            // result
-#include <rhubarbgrade/detail/escrow/account_change.hpp> // account_change
-#include <rhubarbgrade/detail/escrow/witness.hpp>        // witness_message
-#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
-#include <rhubarbgrade/detail/fleet/move_order.hpp>      // move_order
-#include <rhubarbgrade/detail/moves/evidence.hpp>        // move_evidence_t
+#include <rhubarbgrade/detail/base/error.hpp>             // result
+#include <rhubarbgrade/detail/escrow/account_change.hpp>  // account_change
+#include <rhubarbgrade/detail/escrow/witness.hpp>         // witness_message
+#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>   // endpoint_entry
+#include <rhubarbgrade/detail/fleet/move_order.hpp>       // move_order
+#include <rhubarbgrade/detail/moves/evidence.hpp>         // move_evidence_t
+#include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_suspects_t
 
 namespace rhubarbgrade
 {
@@ -24,8 +24,28 @@
     move_evidence_t routes;
 };
 
-/// Number of endpoint crashes by the fingerprint of the request that ran.
-using crash_counts_t = std::map<std::uint64_t, std::uint32_t>;
+/// @brief An endpoint crash as one host knows it.
+struct shared_crash
+{
+    std::uint64_t process = 0; ///< hash of the endpoint's process
+    milliseconds age{0};
+    crash_suspects_t suspects;
+};
+
+/// @brief A quarantine as one host knows it.
+struct shared_quarantine
+{
+    std::uint64_t suspect = 0;
+    milliseconds age{0};
+    bool released = false; ///< has ended, since the suspect proved harmless
+};
+
+/// @brief What one host knows of crashes and quarantines.
+struct shared_crashes
+{
+    std::vector<shared_crash> crashes;
+    std::vector<shared_quarantine> quarantined;
+};
 
 /// @brief The datagram that a host sends to its peers several times a second.
 struct peer_heartbeat
@@ -37,7 +57,7 @@
     bool can_write = false;          ///< the escrow account
     std::uint64_t state_digest = 0;  ///< hash of the endpoints and moves
     std::vector<shared_evidence> evidence;
-    crash_counts_t crashes;
+    shared_crashes crashes;
 };
 
 /// @brief A move as one host has it.
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -1,5 +1,5 @@
 // Decoding by the platform adapter: settings, configuration, store objects and
-// request headers; also the datagrams and crash counts of peers. Malformed
+// request headers; also the datagrams of peers. Malformed
 // input must give an error and nothing worse.
 
 #include <random> // mt19937
@@ -14,7 +14,6 @@
 #include <platform/object_decoders.hpp> // decode_deployment
 #include <platform/store_calls.hpp>     // decode_list
 
-#include "../../src/node/crash_pool.hpp"    // crash_pool
 #include "../../src/peers/peer_state.hpp"   // decode_datagram
 #include "../../src/store/watch_margin.hpp" // next_watch_margin
 
@@ -159,7 +158,9 @@
     peer_heartbeat beat;
     beat.host = "h1";
     beat.configuration = 7;
-    beat.crashes[5] = 2;
+    beat.crashes.crashes.push_back(
+        {5, milliseconds(70), {{11, {2, true}}, {12, {0, false}}}});
+    beat.crashes.quarantined.push_back({13, milliseconds(900), true});
     beat.evidence.push_back({"s", "v2", {}});
     add_sample(beat.evidence[0].routes["r"], true, false, 0.2);
     const auto bytes = encode_heartbeat(beat);
@@ -168,7 +169,19 @@
     const auto* const decoded = std::get_if<peer_heartbeat>(&*datagram);
     REQUIRE(decoded != nullptr);
     CHECK(decoded->host == "h1");
-    CHECK(decoded->crashes == beat.crashes);
+    REQUIRE(decoded->crashes.crashes.size() == 1);
+    const auto& crash = decoded->crashes.crashes[0];
+    CHECK(crash.process == 5);
+    CHECK(crash.age == milliseconds(70));
+    REQUIRE(crash.suspects.size() == 2);
+    CHECK(crash.suspects.at(11).depth == 2);
+    CHECK(crash.suspects.at(11).cleared);
+    CHECK_FALSE(crash.suspects.at(12).cleared);
+    REQUIRE(decoded->crashes.quarantined.size() == 1);
+    const auto& quarantine = decoded->crashes.quarantined[0];
+    CHECK(quarantine.suspect == 13);
+    CHECK(quarantine.age == milliseconds(900));
+    CHECK(quarantine.released);
     CHECK(decoded->evidence[0].routes.at("r").to_all.errors == 1);
     const witness_message sent{
         {"h1", "1"}, {"h2", "9"}, {{"clerks", 70}}, true};
@@ -193,20 +206,6 @@
     CHECK_FALSE(decode_datagram("no message"));
 }
 
-TEST_CASE("a request is quarantined after three crashes seen by any host",
-          "[adapter]")
-{
-    const time_point_t now = time_point_t{} + std::chrono::hours(1);
-    crash_pool crashes;
-    CHECK_FALSE(crashes.note(11, now));
-    CHECK_FALSE(crashes.set_peer_counts("h2", {{11, 1}, {12, 1}}, now));
-    CHECK(crashes.quarantined().empty());
-    CHECK(crashes.set_peer_counts("h3", {{11, 1}}, now));
-    CHECK(crashes.quarantined().contains(11));
-    CHECK_FALSE(crashes.quarantined().contains(12));
-    CHECK(crashes.own(now + std::chrono::minutes(2)).empty());
-}
-
 TEST_CASE("a watch on a slow link is not given up again and again", "[adapter]")
 {
     auto margin = min_watch_margin;
