Publish only the crashes that a host has observed itself, for a few seconds

Each heartbeat repeated all crashes of the last minute that any host knew: with many hosts, up to 6 KB to each peer twice a second after any crash.

--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -1,9 +1,8 @@
 #include "crash_pool.hpp"
 
-#include <algorithm> // all_of, any_of, max, min
+#include <algorithm> // all_of, max, min
 #include <chrono>    // duration_cast, hours, seconds
 #include <utility>   // move
-#include <vector>    // vector
 
 #include <rhubarbgrade/detail/base/hash.hpp> // hash64
 
@@ -27,9 +26,9 @@
 /// Time in which the reports of other hosts on a crash arrive.
 constexpr milliseconds settle_time{200};
 
-/// Time for which a crash is published although a quarantine explains it: a
-/// peer may find another explanation.
-constexpr std::chrono::seconds explained_retention{5};
+/// Time for which an observation is published, in case that heartbeats are
+/// lost.
+constexpr std::chrono::seconds report_time{5};
 
 /// Peers that have been silent for longer make no trials.
 constexpr std::chrono::seconds peer_timeout{2};
@@ -90,10 +89,7 @@
         return;
     found->second.released = true;
     found->second.released_at = now;
-    for (auto& [process, crash] : m_crashes)
-        if (const auto each = crash.suspects.find(suspect);
-            each != crash.suspects.end())
-            each->second.cleared = true;
+    clear_records(suspect, now);
     spdlog::info("event=quarantine_released suspect={:x} age_ms={}", suspect,
                  age_of(found->second.since, now).count());
 }
@@ -106,15 +102,27 @@
     if (is_new)
         found->second.at = now;
     for (const auto& [id, suspect] : suspects)
+    {
         found->second.suspects.try_emplace(id, suspect);
+        m_own_reports[{process, id}] = now;
+    }
 }
 
-void crash_pool::clear(std::uint64_t suspect, time_point_t now)
+void crash_pool::clear_records(std::uint64_t suspect, time_point_t now)
 {
     for (auto& [process, crash] : m_crashes)
-        if (const auto each = crash.suspects.find(suspect);
-            each != crash.suspects.end())
-            each->second.cleared = true;
+    {
+        const auto found = crash.suspects.find(suspect);
+        if (found == crash.suspects.end() || found->second.cleared)
+            continue;
+        found->second.cleared = true;
+        m_own_reports[{process, suspect}] = now;
+    }
+}
+
+void crash_pool::clear(std::uint64_t suspect, time_point_t now)
+{
+    clear_records(suspect, now);
     release(suspect, now);
 }
 
@@ -164,31 +172,22 @@
     shared_crashes all;
     for (const auto& [id, each] : m_quarantine)
         all.quarantined.push_back({id, age_of(each.since, now), each.released});
-    const auto causes = in_quarantine();
-    std::vector<const crash_records_t::value_type*> newest_first;
-    for (const auto& each : m_crashes)
-        if (now - each.second.at < explained_retention ||
-            std::none_of(each.second.suspects.begin(),
-                         each.second.suspects.end(),
-                         [&](const auto& suspect)
-                         {
-                             return causes.contains(suspect.first);
-                         }))
-            newest_first.push_back(&each);
-    std::sort(newest_first.begin(), newest_first.end(),
-              [](const auto* left, const auto* right)
-              {
-                  return left->second.at > right->second.at;
-              });
+    std::map<std::uint64_t, shared_crash> reported;
     std::size_t suspects = 0;
-    for (const auto* each : newest_first)
+    for (const auto& [key, at] : m_own_reports)
     {
-        suspects += each->second.suspects.size();
-        if (suspects > max_shared_suspects)
-            break;
-        all.crashes.push_back(
-            {each->first, age_of(each->second.at, now), each->second.suspects});
+        const auto& [process, id] = key;
+        const auto found = m_crashes.find(process);
+        if (found == m_crashes.end() || now - at > report_time ||
+            ++suspects > max_shared_suspects)
+            continue;
+        auto& crash = reported[process];
+        crash.process = process;
+        crash.age = age_of(found->second.at, now);
+        crash.suspects[id] = found->second.suspects.at(id);
     }
+    for (auto& [process, crash] : reported)
+        all.crashes.push_back(std::move(crash));
     return all;
 }
 
@@ -199,6 +198,11 @@
                   {
                       return now - each.second.at > crash_retention;
                   });
+    std::erase_if(m_own_reports,
+                  [now](const auto& each)
+                  {
+                      return now - each.second > report_time;
+                  });
     std::erase_if(m_quarantine,
                   [now](const auto& each)
                   {
--- a/src/node/crash_pool.hpp
+++ b/src/node/crash_pool.hpp
@@ -4,6 +4,7 @@
 #include <map>     // map
 #include <set>     // set
 #include <string>  // string
+#include <utility> // pair
 
 #include <rhubarbgrade/detail/base/types.hpp>             // time_point_t
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_records_t
@@ -16,8 +17,9 @@
 /// @brief Collects the crashes of endpoints from all hosts, and quarantines
 ///        prompt parts and requests that crash endpoints repeatedly.
 ///
-/// Each host publishes all that it knows, so that crashes stay known when the
-/// host that saw them is gone. Used on the control thread only.
+/// Each host publishes what it has observed itself for a few seconds, and what
+/// is in quarantine as long as it lasts, so that this stays known when the
+/// hosts that saw the crashes are gone. Used on the control thread only.
 class crash_pool
 {
 public:
@@ -38,7 +40,7 @@
     void merge(const std::string& peer, const shared_crashes& known,
                time_point_t now);
 
-    /// @brief What this host knows, for its peers.
+    /// @brief What this host has to tell its peers.
     shared_crashes shared(time_point_t now) const;
 
     /// @brief Decides on the quarantine, and discards what has expired; to be
@@ -60,6 +62,10 @@
         time_point_t released_at{};
     };
 
+    /// A suspect in the record of a process.
+    using report_key_t = std::pair<std::uint64_t, std::uint64_t>;
+
+    void clear_records(std::uint64_t suspect, time_point_t now);
     std::set<std::uint64_t> in_quarantine() const;
     void update_quarantine(time_point_t now);
     void release(std::uint64_t suspect, time_point_t now);
@@ -68,6 +74,7 @@
 
     std::string m_host;
     crash_records_t m_crashes;
+    std::map<report_key_t, time_point_t> m_own_reports; ///< last change
     std::map<std::uint64_t, quarantine_entry> m_quarantine;
     std::map<std::string, time_point_t> m_peers; ///< last heartbeat
 };
