Failing test: an endpoint gets more requests than the limit it names

Nine hosts, four endpoints: one that names a limit of 1, 1.1 or 4 requests a second gets 109, 102 and 105 in the worst 4 s (11, 11 and 29 allowed); when all endpoints name one, nothing is refused. The stand-in names a limit and logs when requests arrive.

--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -3,9 +3,10 @@
 //   GET|POST any path   runs the request; answers with an event stream if the
 //                       path contains "/stream/", else with the run's number
 //   PUT  /fault         (tests) {events, gap_ms, delay_ms, break_after, shed,
-//                       status, resume_status, lose_answer}
+//                       status, resume_status, lose_answer, limit}
 //
-// Each run is logged with its body and headers.
+// Each run is logged with its body, headers and the time of the monotonic
+// clock.
 
 #include <atomic>
 #include <chrono>
@@ -41,8 +42,16 @@
     int status = 200;
     int resume_status = 200;  ///< status of a request with Last-Event-Id
     bool lose_answer = false; ///< runs the request and breaks the connection
+    std::string limit;        ///< named in responses; empty: none
 };
 
+long long now_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 class replica
 {
 public:
@@ -78,7 +87,8 @@
                     requested.value("shed", false),
                     requested.value("status", 200),
                     requested.value("resume_status", 200),
-                    requested.value("lose_answer", false)};
+                    requested.value("lose_answer", false),
+                    requested.value("limit", "")};
     }
 
     void handle_call(const httplib::Request& request,
@@ -112,6 +122,7 @@
                       {"id", request.get_header_value("Request-Id")},
                       {"path", request.path},
                       {"body", request.body},
+                      {"at_ms", now_ms()},
                       {"headers", headers}});
         standin::delay(milliseconds(active_faults.delay_ms));
         if (active_faults.lose_answer)
@@ -127,6 +138,8 @@
         response.status =
             resumed ? active_faults.resume_status : active_faults.status;
         response.set_header("Response-Signature", "s." + FLAGS_id);
+        if (!active_faults.limit.empty())
+            response.set_header("Server-Limit", active_faults.limit);
         if (request.path.find("/stream/") == std::string::npos ||
             response.status != 200)
             response.set_content("run " + std::to_string(++m_runs),
