Hosts heard of lately in a class of their own

The quarantine's trials need the live hosts, and the shares of request limits will: one list for both.

--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -30,9 +30,6 @@
 /// lost.
 constexpr std::chrono::seconds report_time{5};
 
-/// Peers that have been silent for longer make no trials.
-constexpr std::chrono::seconds peer_timeout{2};
-
 /// Tolerance for the times of the same event at two hosts.
 constexpr std::chrono::seconds clock_tolerance{1};
 
@@ -145,10 +142,8 @@
     m_quarantine[known.suspect] = {since, false, {}};
 }
 
-void crash_pool::merge(const std::string& peer, const shared_crashes& known,
-                       time_point_t now)
+void crash_pool::merge(const shared_crashes& known, time_point_t now)
 {
-    m_peers[peer] = now;
     for (const auto& each : known.quarantined)
         merge_quarantine(each, now);
     for (const auto& each : known.crashes)
@@ -211,11 +206,6 @@
                                        release_retention
                                  : now - each.second.since > quarantine_time;
                   });
-    std::erase_if(m_peers,
-                  [now](const auto& each)
-                  {
-                      return now - each.second > peer_timeout;
-                  });
     update_quarantine(now);
 }
 
@@ -229,24 +219,26 @@
     return ids;
 }
 
-bool crash_pool::makes_trial(std::uint64_t suspect, time_point_t now) const
+bool crash_pool::makes_trial(std::uint64_t suspect,
+                             std::span<const std::string> live_hosts) const
 {
     const auto own = hash64(m_host, suspect);
-    return std::all_of(m_peers.begin(), m_peers.end(),
-                       [&](const auto& peer)
+    return std::all_of(live_hosts.begin(), live_hosts.end(),
+                       [&](const auto& host)
                        {
-                           return now - peer.second > peer_timeout ||
-                                  hash64(peer.first, suspect) < own;
+                           return hash64(host, suspect) <= own;
                        });
 }
 
-std::map<std::uint64_t, int> crash_pool::quarantined(time_point_t now) const
+std::map<std::uint64_t, int>
+crash_pool::quarantined(std::span<const std::string> live_hosts,
+                        time_point_t now) const
 {
     std::map<std::uint64_t, int> trials;
     for (const auto id : in_quarantine())
     {
         const auto age = age_of(m_quarantine.at(id).since, now);
-        trials[id] = makes_trial(id, now) ? quarantine_trials(age) : 0;
+        trials[id] = makes_trial(id, live_hosts) ? quarantine_trials(age) : 0;
     }
     return trials;
 }
--- a/src/node/crash_pool.hpp
+++ b/src/node/crash_pool.hpp
@@ -3,6 +3,7 @@
 #include <cstdint> // uint64_t
 #include <map>     // map
 #include <set>     // set
+#include <span>    // span
 #include <string>  // string
 #include <utility> // pair
 
@@ -37,8 +38,7 @@
     void clear(std::uint64_t suspect, time_point_t now);
 
     /// @brief Adds what a peer knows.
-    void merge(const std::string& peer, const shared_crashes& known,
-               time_point_t now);
+    void merge(const shared_crashes& known, time_point_t now);
 
     /// @brief What this host has to tell its peers.
     shared_crashes shared(time_point_t now) const;
@@ -52,7 +52,10 @@
 
     /// @brief Suspects in quarantine, with the number of the trial that this
     ///        host has to make with each; 0: none.
-    std::map<std::uint64_t, int> quarantined(time_point_t now) const;
+    /// @param[in] live_hosts  one of which makes the trial
+    std::map<std::uint64_t, int>
+    quarantined(std::span<const std::string> live_hosts,
+                time_point_t now) const;
 
 private:
     struct quarantine_entry
@@ -70,13 +73,13 @@
     void update_quarantine(time_point_t now);
     void release(std::uint64_t suspect, time_point_t now);
     void merge_quarantine(const shared_quarantine& known, time_point_t now);
-    bool makes_trial(std::uint64_t suspect, time_point_t now) const;
+    bool makes_trial(std::uint64_t suspect,
+                     std::span<const std::string> live_hosts) const;
 
     std::string m_host;
     crash_records_t m_crashes;
     std::map<report_key_t, time_point_t> m_own_reports; ///< last change
     std::map<std::uint64_t, quarantine_entry> m_quarantine;
-    std::map<std::string, time_point_t> m_peers; ///< last heartbeat
 };
 
 } // namespace rhubarbgrade
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -66,6 +66,7 @@
       m_escrow(loop.get_executor(), m_store, m_witnesses, m_identity,
                make_escrow_listener()),
       m_moves(loop.get_executor(), m_store),
+      m_presence(settings.host),
       m_crashes(settings.host)
 {
 }
@@ -381,7 +382,8 @@
     m_escrow.record_heartbeat(heartbeat.host, heartbeat.can_write);
     for (const auto& each : heartbeat.evidence)
         m_moves.set_peer_evidence(heartbeat.host, each);
-    m_crashes.merge(heartbeat.host, heartbeat.crashes, now);
+    m_presence.record(heartbeat.host, now);
+    m_crashes.merge(heartbeat.crashes, now);
     publish_crashes(now);
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
@@ -432,7 +434,7 @@
 void node_control::publish_crashes(time_point_t now)
 {
     auto suspects = m_crashes.suspected();
-    auto quarantine = m_crashes.quarantined(now);
+    auto quarantine = m_crashes.quarantined(m_presence.live_hosts(now), now);
     // A suspect that has been cleared meanwhile does no harm in the view.
     if (quarantine == m_published_quarantine &&
         suspects.empty() == m_published_suspects.empty() &&
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -21,6 +21,7 @@
 #include "crash_pool.hpp"                 // crash_pool
 #include "escrow_keeper.hpp"              // escrow_keeper
 #include "move_keeper.hpp"                // move_keeper
+#include "peer_presence.hpp"              // peer_presence
 #include "witness_keeper.hpp"             // witness_keeper
 
 namespace rhubarbgrade
@@ -108,6 +109,7 @@
     witness_keeper m_witnesses;
     escrow_keeper m_escrow;
     move_keeper m_moves;
+    peer_presence m_presence;
     crash_pool m_crashes;
     endpoint_registry m_endpoints;
     std::shared_ptr<const deployment> m_configuration;
--- a/tests/unit/unit-crashes.cpp
+++ b/tests/unit/unit-crashes.cpp
@@ -23,6 +23,8 @@
 
 const time_point_t start = time_point_t{} + hours(1);
 
+const std::vector<std::string> hosts{"h0", "h1", "h2", "h3", "h4"};
+
 /// A request with the parts of a prompt, from the first on, and its own id.
 crash_suspects_t request(const std::vector<std::uint64_t>& parts,
                          std::uint64_t own)
@@ -135,28 +137,28 @@
     crash_pool third("h3");
     const auto exchange = [&](time_point_t now)
     {
-        first.merge("h2", second.shared(now), now);
-        second.merge("h1", first.shared(now), now);
+        first.merge(second.shared(now), now);
+        second.merge(first.shared(now), now);
         first.update(now);
         second.update(now);
     };
     first.record_crash(11, request({1, 7}, 101), start);
     second.record_crash(12, request({2, 7}, 102), start + seconds(1));
     exchange(start + seconds(2));
-    CHECK(first.quarantined(start + seconds(2)).empty());
+    CHECK(first.quarantined(hosts, start + seconds(2)).empty());
     // Both lose a request at the same crash: it counts once.
     first.record_crash(12, request({3, 7}, 103), start + seconds(1));
     exchange(start + seconds(2));
-    CHECK(first.quarantined(start + seconds(2)).empty());
+    CHECK(first.quarantined(hosts, start + seconds(2)).empty());
     second.record_crash(13, request({4, 7}, 104), start + seconds(2));
     exchange(start + seconds(3));
-    CHECK(ids(first.quarantined(start + seconds(3))) == id_set_t{7});
-    CHECK(ids(second.quarantined(start + seconds(3))) == id_set_t{7});
+    CHECK(ids(first.quarantined(hosts, start + seconds(3))) == id_set_t{7});
+    CHECK(ids(second.quarantined(hosts, start + seconds(3))) == id_set_t{7});
     // A host that starts later learns it from one that saw the least of it.
     const auto later = start + minutes(2);
     first.update(later);
-    third.merge("h1", first.shared(later), later);
-    CHECK(ids(third.quarantined(later)) == id_set_t{7});
+    third.merge(first.shared(later), later);
+    CHECK(ids(third.quarantined(hosts, later)) == id_set_t{7});
     CHECK(third.suspected() == id_set_t{7});
 }
 
@@ -167,15 +169,15 @@
     crash_pool last("h3");
     witness.record_crash(11, request({1, 7}, 101), start);
     witness.record_crash(12, request({2, 7}, 102), start + seconds(1));
-    middle.merge("h1", witness.shared(start + seconds(1)), start + seconds(1));
+    middle.merge(witness.shared(start + seconds(1)), start + seconds(1));
     // The witness is gone, and another host has started.
     auto now = start + seconds(30);
     last.record_crash(13, request({3, 7}, 103), now);
-    middle.merge("h3", last.shared(now), now);
+    middle.merge(last.shared(now), now);
     now += seconds(1);
     middle.update(now);
-    last.merge("h2", middle.shared(now), now);
-    CHECK(ids(last.quarantined(now)) == id_set_t{7});
+    last.merge(middle.shared(now), now);
+    CHECK(ids(last.quarantined(hosts, now)) == id_set_t{7});
 }
 
 TEST_CASE("a whole answer ends a wrong quarantine at all hosts", "[crashes]")
@@ -187,19 +189,19 @@
                            start + static_cast<int>(i) * seconds(1));
     auto now = start + seconds(3);
     first.update(now);
-    second.merge("h1", first.shared(now), now);
+    second.merge(first.shared(now), now);
     const auto outdated = second.shared(now);
-    CHECK(ids(second.quarantined(now)) == id_set_t{7});
+    CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
     now += seconds(1);
     first.clear(7, now);
-    CHECK(first.quarantined(now).empty());
-    second.merge("h1", first.shared(now), now);
+    CHECK(first.quarantined(hosts, now).empty());
+    second.merge(first.shared(now), now);
     second.update(now);
-    CHECK(second.quarantined(now).empty());
+    CHECK(second.quarantined(hosts, now).empty());
     // A message that was sent before does not bring it back.
-    first.merge("h2", outdated, now + milliseconds(200));
+    first.merge(outdated, now + milliseconds(200));
     first.update(now + milliseconds(200));
-    CHECK(first.quarantined(now).empty());
+    CHECK(first.quarantined(hosts, now).empty());
     // New crashes do.
     now += seconds(5);
     for (std::uint64_t i = 10; i < 13; ++i)
@@ -208,9 +210,9 @@
         now += seconds(1);
     }
     first.update(now);
-    CHECK(ids(first.quarantined(now)) == id_set_t{7});
-    second.merge("h1", first.shared(now), now);
-    CHECK(ids(second.quarantined(now)) == id_set_t{7});
+    CHECK(ids(first.quarantined(hosts, now)) == id_set_t{7});
+    second.merge(first.shared(now), now);
+    CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
 }
 
 TEST_CASE("a quarantine that rests on a part of the reports ends with the rest",
@@ -227,16 +229,16 @@
     }
     const auto now = start + seconds(3);
     first.update(now);
-    CHECK(ids(first.quarantined(now)) == id_set_t{1});
+    CHECK(ids(first.quarantined(hosts, now)) == id_set_t{1});
     for (int i = 0; i < 2; ++i)
     {
-        second.merge("h1", first.shared(now), now);
+        second.merge(first.shared(now), now);
         second.update(now);
-        first.merge("h2", second.shared(now), now);
+        first.merge(second.shared(now), now);
         first.update(now);
     }
-    CHECK(ids(first.quarantined(now)) == id_set_t{7});
-    CHECK(ids(second.quarantined(now)) == id_set_t{7});
+    CHECK(ids(first.quarantined(hosts, now)) == id_set_t{7});
+    CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
 }
 
 TEST_CASE("crashes and quarantines expire", "[crashes]")
@@ -247,7 +249,7 @@
                           start + static_cast<int>(i) * seconds(1));
     pool.update(start + minutes(2));
     pool.record_crash(5, request({2, 7}, 105), start + minutes(2));
-    CHECK(pool.quarantined(start + minutes(2)).empty());
+    CHECK(pool.quarantined(hosts, start + minutes(2)).empty());
     for (std::uint64_t i = 6; i < 8; ++i)
         pool.record_crash(i, request({2, 7}, 101 + i),
                           start + minutes(2) +
@@ -255,9 +257,9 @@
     const auto quarantined = start + minutes(3);
     pool.update(start + minutes(2) + seconds(9));
     pool.update(quarantined + minutes(50));
-    CHECK(ids(pool.quarantined(quarantined)).contains(7));
+    CHECK(ids(pool.quarantined(hosts, quarantined)).contains(7));
     pool.update(quarantined + hours(2));
-    CHECK(pool.quarantined(quarantined + hours(2)).empty());
+    CHECK(pool.quarantined(hosts, quarantined + hours(2)).empty());
     CHECK(pool.suspected().empty());
 }
 
@@ -283,12 +285,11 @@
         for (std::size_t i = 0; i < pools.size(); ++i)
             for (std::size_t k = 0; k < pools.size(); ++k)
                 if (i != k)
-                    pools[i].merge("h" + std::to_string(k),
-                                   pools[k].shared(now), now);
+                    pools[i].merge(pools[k].shared(now), now);
         return std::count_if(pools.begin(), pools.end(),
                              [&](const auto& each)
                              {
-                                 return each.quarantined(now).at(7) > 0;
+                                 return each.quarantined(hosts, now).at(7) > 0;
                              });
     };
     CHECK(count_trials(start + seconds(30)) == 0);
@@ -404,7 +405,7 @@
         sent.host = pick(m_pools.size());
         sent.bad = parts[1] == bad_part;
         sent.suspects = request(parts, 1000000 + ++m_count);
-        const auto quarantined = m_pools[sent.host].quarantined(m_now);
+        const auto quarantined = m_pools[sent.host].quarantined(hosts, m_now);
         std::map<std::uint64_t, int> trials;
         if (admit(sent.suspects, quarantined, trials).suspect)
         {
@@ -477,7 +478,7 @@
         const auto known = m_pools[host].shared(m_now);
         for (std::size_t i = 0; i < m_pools.size(); ++i)
             if (i != host && !chance(lost_datagrams))
-                m_pools[i].merge("h" + std::to_string(host), known, m_now);
+                m_pools[i].merge(known, m_now);
     }
 
     std::mt19937 m_random;
