Keep the request limits that endpoints name, over all hosts together

An endpoint in need that named a limit of 1 request a second got 109 in 4 s from nine hosts (11 allowed), and what callers sent there waited or failed while other endpoints had room.

Cause: the limit was not read at all. The class of fault: a bound that holds for the sum over hosts needs one owner of each request that it allows; a host's own restraint is not enough.

Answers are now read for the limit. Each is observed with the time its request was sent, so that an answer that overtakes another neither ends nor raises a limit; a malformed one changes nothing. Hosts exchange observations in their heartbeats, at once when a limit begins or ends. Placing leaves endpoints without a token out before a request is committed, retries included. If limits keep a request from all endpoints, it is refused at once with the time until the next token as Retry-After.

--- a/include/rhubarbgrade/detail/fleet/endpoint_entry.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_entry.hpp
@@ -3,6 +3,7 @@
 #include <cstdint> // uint32_t, uint64_t
 #include <string>  // string
 
+#include <rhubarbgrade/detail/base/hash.hpp>           // hash64
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // socket_address
 
 namespace rhubarbgrade
@@ -23,4 +24,10 @@
     bool operator==(const endpoint_entry&) const = default;
 };
 
+/// @brief Hash of one process of an endpoint, the same on every host.
+inline std::uint64_t process_hash(const endpoint_entry& entry)
+{
+    return hash64(entry.id, entry.started);
+}
+
 } // namespace rhubarbgrade
--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -8,8 +8,9 @@
 #include <string>  // string
 #include <vector>  // vector
 
-#include <rhubarbgrade/detail/fleet/deployment.hpp>     // deployment
-#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp> // endpoint_entry
+#include <rhubarbgrade/detail/fleet/deployment.hpp>      // deployment
+#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
+#include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
 
 namespace rhubarbgrade
 {
@@ -30,6 +31,9 @@
     std::shared_ptr<const deployment> configuration;
     std::vector<endpoint_entry> endpoints; ///< without leaving ones
     std::map<std::string, trial_split, std::less<>> splits; ///< by service
+    /// This host's shares of the request limits that endpoints have named, by
+    /// the hash of their process.
+    std::map<std::uint64_t, request_share> request_shares;
     std::size_t hosts = 1; ///< among which fleet-wide limits are divided
     /// Prompt parts and requests that may have crashed an endpoint, by id or
     /// fingerprint; whole answers to them are reported.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -313,11 +313,25 @@
             m_context.directory.choose(criteria, time_point_t::clock::now());
         if (chosen || m_disconnected || m_deadline_passed)
             co_return chosen;
+        m_limit_wait = m_context.directory.limit_wait(
+            m_service, time_point_t::clock::now());
+        if (m_limit_wait)
+            co_return nullptr;
         if (!co_await m_context.wait_queue.wait(m_service, until))
             co_return nullptr;
     }
 }
 
+local_response caller_exchange::limit_response()
+{
+    ++m_context.counters.limited;
+    const auto retry_after = *m_limit_wait + random_retry_after();
+    spdlog::info("event=limit_refusal request={} service={} retry_after_ms={}",
+                 m_head.id, m_service, retry_after.count());
+    return {unavailable, "the endpoints' request limits are used up",
+            retry_after};
+}
+
 bool caller_exchange::may_repeat(const attempt_report& report)
 {
     if (m_is_trial)
@@ -397,6 +411,7 @@
 caller_exchange::attempt(endpoint_ptr_t endpoint)
 {
     m_tried.push_back(endpoint);
+    endpoint_directory::count_request(*endpoint, time_point_t::clock::now());
     ++endpoint->in_flight;
     endpoint->prompt_tokens_waiting += m_head.prompt_tokens;
     m_attempt = std::make_shared<endpoint_attempt>(m_context.directory,
@@ -496,6 +511,8 @@
                             {}};
     if (!m_may_have_run && quarantined)
         response = quarantine_response();
+    else if (!m_may_have_run && m_limit_wait)
+        response = limit_response();
     else if (!m_may_have_run)
     {
         ++m_context.counters.no_endpoint;
--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -9,8 +9,6 @@
 
 #include <spdlog/spdlog.h> // warn
 
-#include <rhubarbgrade/detail/base/hash.hpp> // hash64
-
 #include "../store/spawn.hpp" // spawn
 
 namespace rhubarbgrade
@@ -90,8 +88,7 @@
     ended.broken.merge(ended.closed);
     spdlog::warn("event=endpoint_crashed endpoint={} suspects={}",
                  endpoint->entry.id, ended.broken.size());
-    m_listener.crashed(hash64(endpoint->entry.id, endpoint->entry.started),
-                       ended.broken);
+    m_listener.crashed(process_hash(endpoint->entry), ended.broken);
 }
 
 } // namespace rhubarbgrade
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -246,6 +246,8 @@
     report.status = parser->get().result_int();
     report.fields = parser->get();
     endpoint_directory::record_load(*m_endpoint, head, now);
+    if (report.status != misdirected)
+        m_directory.record_limit(*m_endpoint, head, started_at, now);
     // A response that is not forwardable is read and discarded; the request
     // may then be retried. A resumed stream can only continue with a success,
     // and a success must be signed and have no Content-Encoding.
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -116,11 +116,13 @@
 
 } // namespace
 
-endpoint_directory::endpoint_directory(asio::any_io_executor executor,
-                                       std::string zone, random_source_t random)
+endpoint_directory::endpoint_directory(
+    asio::any_io_executor executor, std::string zone, random_source_t random,
+    std::function<void(const limit_observation&)> on_limit)
     : m_executor(std::move(executor)),
       m_zone(std::move(zone)),
-      m_random(std::move(random))
+      m_random(std::move(random)),
+      m_on_limit(std::move(on_limit))
 {
 }
 
@@ -143,6 +145,14 @@
         }
         known->entry = entry;
         known->listed = true;
+        const auto share = view->request_shares.find(process_hash(entry));
+        if (share == view->request_shares.end())
+        {
+            known->share.reset();
+            known->bucket = {};
+        }
+        else
+            known->share = share->second;
         m_by_service[entry.service].push_back(known);
     }
     std::erase_if(m_by_id,
@@ -154,6 +164,36 @@
                   });
 }
 
+void endpoint_directory::count_request(pool_endpoint& endpoint,
+                                       time_point_t now)
+{
+    if (!endpoint.share)
+        return;
+    refill(endpoint.bucket, *endpoint.share, now);
+    endpoint.bucket.tokens -= 1;
+}
+
+std::optional<milliseconds>
+endpoint_directory::limit_wait(std::string_view service, time_point_t now) const
+{
+    const auto pool = m_by_service.find(service);
+    if (pool == m_by_service.end())
+        return std::nullopt;
+    std::optional<milliseconds> shortest;
+    for (const auto& each : pool->second)
+    {
+        if (!each->share)
+            return std::nullopt;
+        refill(each->bucket, *each->share, now);
+        if (has_token(each->bucket))
+            return std::nullopt;
+        const auto wait = time_to_token(each->bucket, *each->share);
+        if (wait && (!shortest || *wait < *shortest))
+            shortest = wait;
+    }
+    return shortest.value_or(milliseconds(0));
+}
+
 bool endpoint_directory::serves(std::string_view service) const
 {
     return m_by_service.find(service) != m_by_service.end();
@@ -203,8 +243,11 @@
         candidate_state.prompt_tokens_waiting = each->prompt_tokens_waiting;
         candidate_state.cached_tokens =
             cached_tokens(*each, criteria.parts, now);
+        if (each->share)
+            refill(each->bucket, *each->share, now);
         candidate_state.usable =
             each->listed && now >= each->ejected_until &&
+            (!each->share || has_token(each->bucket)) &&
             version_allowed(*each, to_trial_version, split) &&
             std::find(criteria.tried.begin(), criteria.tried.end(), each) ==
                 criteria.tried.end();
@@ -310,6 +353,17 @@
     endpoint.reported_at = now;
 }
 
+void endpoint_directory::record_limit(const pool_endpoint& endpoint,
+                                      const platform::response_head& head,
+                                      time_point_t sent_at,
+                                      time_point_t now) const
+{
+    const bool unreadable = head.names_limit && !head.limit_per_s;
+    if (unreadable || (!head.names_limit && !endpoint.share))
+        return;
+    m_on_limit({process_hash(endpoint.entry), head.limit_per_s, sent_at, now});
+}
+
 void endpoint_directory::close_idle_connections(time_point_t now)
 {
     for (auto& [id, each] : m_by_id)
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
 #include <span>          // span
@@ -49,9 +50,11 @@
 class endpoint_directory
 {
 public:
-    /// @param[in] zone  this host's availability zone
+    /// @param[in] zone      this host's availability zone
+    /// @param[in] on_limit  called with answers that bear on a request limit
     endpoint_directory(boost::asio::any_io_executor executor, std::string zone,
-                       random_source_t random);
+                       random_source_t random,
+                       std::function<void(const limit_observation&)> on_limit);
 
     /// @brief Applies a new view of the fleet. An endpoint that has restarted
     ///        or has another address loses its history and connections.
@@ -60,6 +63,16 @@
     /// @return an endpoint for the request, or null if none can take it now
     endpoint_ptr_t choose(const endpoint_criteria& criteria, time_point_t now);
 
+    /// @brief Counts a request that is about to be sent to the endpoint against
+    ///        this host's share of its request limit.
+    static void count_request(pool_endpoint& endpoint, time_point_t now);
+
+    /// @brief Time until this host may send another request to the service, if
+    ///        only the request limits of its endpoints keep it from that. Zero
+    ///        if this host has no share, but another host may have.
+    std::optional<milliseconds> limit_wait(std::string_view service,
+                                           time_point_t now) const;
+
     /// @brief Whether any endpoint of the service is known.
     bool serves(std::string_view service) const;
 
@@ -91,6 +104,13 @@
                             const platform::response_head& head,
                             time_point_t now);
 
+    /// @brief Reports the request limit that an answer names, or that it no
+    ///        longer names one.
+    /// @param[in] sent_at  when the request was sent
+    void record_limit(const pool_endpoint& endpoint,
+                      const platform::response_head& head, time_point_t sent_at,
+                      time_point_t now) const;
+
     /// @brief Closes connections that have exceeded their idle time-out.
     void close_idle_connections(time_point_t now);
 
@@ -103,6 +123,7 @@
     boost::asio::any_io_executor m_executor;
     std::string m_zone;
     random_source_t m_random;
+    std::function<void(const limit_observation&)> m_on_limit;
     fleet_view_ptr_t m_view;
     std::unordered_map<std::string, endpoint_ptr_t> m_by_id;
     std::map<std::string, std::vector<endpoint_ptr_t>, std::less<>>
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -2,11 +2,13 @@
 
 #include <cstdint>       // uint32_t, uint64_t
 #include <list>          // list
+#include <optional>      // optional
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
 
-#include <rhubarbgrade/detail/base/types.hpp>           // time_point_t
-#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp> // endpoint_entry
+#include <rhubarbgrade/detail/base/types.hpp>            // time_point_t
+#include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
+#include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
 
 #include "endpoint_link.hpp" // endpoint_link
 
@@ -49,6 +51,9 @@
     double reported_load = 0; ///< requests per slot
     time_point_t reported_at{};
     recent_prompt_parts recent_parts;
+    /// This host's share of the endpoint's request limit, if it has one.
+    std::optional<request_share> share;
+    request_bucket bucket; ///< of the share
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -50,6 +50,7 @@
     std::uint64_t no_draws = 0;    ///< the store takes no draws at present
     std::uint64_t no_endpoint = 0; ///< no endpoint has a free slot
     std::uint64_t quarantined = 0; ///< has crashed endpoints
+    std::uint64_t limited = 0; ///< the endpoints' request limits are used up
 };
 
 /// @brief State shared by all sessions; used by the traffic thread only.
@@ -60,11 +61,13 @@
                     const random_source_t& with_random,
                     std::function<void()> on_tokens_needed,
                     std::function<void(const version_sample&)> sample_handler,
-                    crash_listener crashes)
+                    crash_listener crashes,
+                    std::function<void(const limit_observation&)> on_limit)
         : executor(with_executor),
           bounds(with_settings.bounds),
           random(with_random),
-          directory(with_executor, with_settings.zone, with_random),
+          directory(with_executor, with_settings.zone, with_random,
+                    std::move(on_limit)),
           detector(with_executor, directory, std::move(crashes)),
           wallets(with_executor, std::move(on_tokens_needed)),
           wait_queue(with_executor),
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -83,7 +83,8 @@
            [this](const std::set<std::uint64_t>& ids)
            {
                report_cleared(ids);
-           }}),
+           }},
+          m_control.limit_observed),
       m_caller_acceptor(loop),
       m_readiness_acceptor(loop)
 {
@@ -213,12 +214,12 @@
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
-                 "in_flight={}",
+                 "limited={} in_flight={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
-                 m_context.in_flight);
+                 counters.limited, m_context.in_flight);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -29,6 +29,8 @@
     std::function<void(std::vector<version_sample>)> samples;
     /// Crashes of endpoints, and requests that were answered whole.
     crash_listener crashes;
+    /// Answers that bear on the request limit of an endpoint.
+    std::function<void(const limit_observation&)> limit_observed;
 };
 
 /// @brief The traffic thread: accepts callers' connections, and serves the
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,6 +93,14 @@
                            control.record_crash(process, suspects);
                        });
         };
+        callbacks.limit_observed = [this](const limit_observation& observation)
+        {
+            asio::post(control_io,
+                       [this, observation]
+                       {
+                           control.record_limit(observation);
+                       });
+        };
         callbacks.crashes.cleared = [this](const std::set<std::uint64_t>& ids)
         {
             asio::post(control_io,
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -67,7 +67,8 @@
                make_escrow_listener()),
       m_moves(loop.get_executor(), m_store),
       m_presence(settings.host),
-      m_crashes(settings.host)
+      m_crashes(settings.host),
+      m_limits(settings.host)
 {
 }
 
@@ -319,6 +320,7 @@
     view->hosts = m_host_count;
     view->crash_suspects = m_published_suspects;
     view->quarantined = m_published_quarantine;
+    view->request_shares = m_published_shares;
     m_traffic.publish_view(std::move(view));
 }
 
@@ -360,6 +362,7 @@
     heartbeat.state_digest = state_digest();
     heartbeat.evidence = m_moves.evidence();
     heartbeat.crashes = m_crashes.shared(now);
+    heartbeat.limits = m_limits.shared(now);
     return heartbeat;
 }
 
@@ -385,6 +388,8 @@
     m_presence.record(heartbeat.host, now);
     m_crashes.merge(heartbeat.crashes, now);
     publish_crashes(now);
+    m_limits.merge(heartbeat.limits, now);
+    publish_limits(now);
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
     {
@@ -431,6 +436,31 @@
     publish_crashes(now);
 }
 
+void node_control::record_limit(const limit_observation& observation)
+{
+    m_limits.observe(observation);
+    if (publish_limits(time_point_t::clock::now()))
+        m_peers.hasten_heartbeat();
+}
+
+bool node_control::publish_limits(time_point_t now)
+{
+    auto shares = m_limits.shares(m_presence.live_hosts(now), m_host_count);
+    if (shares == m_published_shares)
+        return false;
+    m_published_shares = std::move(shares);
+    publish();
+    return true;
+}
+
+void node_control::forget_gone_limits()
+{
+    std::set<std::uint64_t> processes;
+    for (const auto& [id, known] : m_endpoints.endpoints)
+        processes.insert(process_hash(known.entry));
+    m_limits.retain(processes);
+}
+
 void node_control::publish_crashes(time_point_t now)
 {
     auto suspects = m_crashes.suspected();
@@ -499,6 +529,8 @@
         m_moves.tick(now);
         m_crashes.update(now);
         publish_crashes(now);
+        forget_gone_limits();
+        publish_limits(now);
         check_configuration(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -20,6 +20,7 @@
 #include "../store/watcher.hpp"           // watch_listener
 #include "crash_pool.hpp"                 // crash_pool
 #include "escrow_keeper.hpp"              // escrow_keeper
+#include "limit_pool.hpp"                 // limit_pool
 #include "move_keeper.hpp"                // move_keeper
 #include "peer_presence.hpp"              // peer_presence
 #include "witness_keeper.hpp"             // witness_keeper
@@ -70,6 +71,9 @@
     ///        the requests that this host had there.
     void record_crash(std::uint64_t process, const crash_suspects_t& suspects);
 
+    /// @brief Records an answer that bears on an endpoint's request limit.
+    void record_limit(const limit_observation& observation);
+
     /// @brief Requests with these suspects were answered whole.
     void clear_suspects(const std::set<std::uint64_t>& ids);
 
@@ -98,6 +102,10 @@
     /// Publishes if the quarantine has changed or there are new suspects.
     void publish_crashes(time_point_t now);
     void check_configuration(time_point_t now);
+    /// Publishes if this host's shares of request limits have changed.
+    /// @return whether they have
+    bool publish_limits(time_point_t now);
+    void forget_gone_limits();
     boost::asio::awaitable<void> tick();
 
     boost::asio::io_context& m_loop;
@@ -111,12 +119,14 @@
     move_keeper m_moves;
     peer_presence m_presence;
     crash_pool m_crashes;
+    limit_pool m_limits;
     endpoint_registry m_endpoints;
     std::shared_ptr<const deployment> m_configuration;
     std::string m_configuration_text; ///< as stored, for peers
     std::vector<endpoint_entry> m_published_endpoints;
     std::set<std::uint64_t> m_published_suspects;
     std::map<std::uint64_t, int> m_published_quarantine;
+    std::map<std::uint64_t, request_share> m_published_shares;
     std::size_t m_host_count = assumed_host_count;
     time_point_t m_store_answered_at{}; ///< last response of the store
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -43,6 +43,15 @@
   suspects @2 :List(Suspect);
 }
 
+# A limit on the requests that a process of an endpoint takes from all hosts.
+struct RequestLimit {
+  process @0 :UInt64;        # hash of the endpoint's id and start
+  perSecond @1 :Float64;
+  # Ages plus one, in ms, 0 for never.
+  namedAge @2 :UInt32;       # last answer that named it
+  unnamedAge @3 :UInt32;     # last request whose answer named none
+}
+
 # A suspect that must not be run.
 struct Quarantine {
   suspect @0 :UInt64;
@@ -61,6 +70,7 @@
   crashes @6 :List(Crash);
   canWrite @7 :Bool;         # the sender can write the escrow account
   quarantined @8 :List(Quarantine);
+  limits @9 :List(RequestLimit);
 }
 
 # One run of a host's process; each start has a new incarnation.
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(d1cb9ff972db62ed);
 CAPNP_DECLARE_SCHEMA(b83d3370620868a9);
 CAPNP_DECLARE_SCHEMA(a1d2fce334b28115);
+CAPNP_DECLARE_SCHEMA(a5b7944dda38c937);
 CAPNP_DECLARE_SCHEMA(cfcfe6e90e6a56a7);
 CAPNP_DECLARE_SCHEMA(feb5e87063845c5c);
 CAPNP_DECLARE_SCHEMA(af4f3e7e93d9b8eb);
@@ -125,6 +126,21 @@
   };
 };
 
+struct RequestLimit {
+  RequestLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5b7944dda38c937, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Quarantine {
   Quarantine() = delete;
 
@@ -148,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -844,6 +860,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class RequestLimit::Reader {
+public:
+  typedef RequestLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getNamedAge() const;
+
+  inline  ::uint32_t getUnnamedAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestLimit::Builder {
+public:
+  typedef RequestLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getNamedAge();
+  inline void setNamedAge( ::uint32_t value);
+
+  inline  ::uint32_t getUnnamedAge();
+  inline void setUnnamedAge( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestLimit::Pipeline {
+public:
+  typedef RequestLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Quarantine::Reader {
 public:
   typedef Quarantine Reads;
@@ -970,6 +1077,9 @@
   inline bool hasQuarantined() const;
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1045,6 +1155,13 @@
   inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>> disownQuarantined();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2888,6 +3005,62 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RequestLimit::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestLimit::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RequestLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RequestLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestLimit::Reader::getNamedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestLimit::Builder::getNamedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setNamedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestLimit::Reader::getUnnamedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestLimit::Builder::getUnnamedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setUnnamedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Quarantine::Reader::getSuspect() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3156,6 +3329,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLimits( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool Process::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -1,5 +1,6 @@
 #include "peer_state.hpp"
 
+#include <cmath>   // isfinite
 #include <cstring> // memcpy
 #include <string>  // string
 
@@ -195,6 +196,42 @@
     }
 }
 
+std::uint32_t write_age(std::optional<milliseconds> age)
+{
+    return age ? static_cast<std::uint32_t>(age->count()) + 1 : 0;
+}
+
+std::optional<milliseconds> read_age(std::uint32_t from)
+{
+    if (from == 0)
+        return std::nullopt;
+    return milliseconds(from - 1);
+}
+
+/// Limits that are not finite or negative are dropped.
+std::vector<shared_limit> read_limits(wire::Beat::Reader from)
+{
+    std::vector<shared_limit> decoded;
+    for (const auto each : from.getLimits())
+        if (std::isfinite(each.getPerSecond()) && each.getPerSecond() >= 0)
+            decoded.push_back({each.getProcess(), each.getPerSecond(),
+                               read_age(each.getNamedAge()),
+                               read_age(each.getUnnamedAge())});
+    return decoded;
+}
+
+void write_limits(wire::Beat::Builder to, const std::vector<shared_limit>& from)
+{
+    auto limits = to.initLimits(size_of(from));
+    for (unsigned i = 0; i < limits.size(); ++i)
+    {
+        limits[i].setProcess(from[i].process);
+        limits[i].setPerSecond(from[i].per_s);
+        limits[i].setNamedAge(write_age(from[i].named_age));
+        limits[i].setUnnamedAge(write_age(from[i].unnamed_age));
+    }
+}
+
 peer_heartbeat read_heartbeat(wire::Beat::Reader root)
 {
     peer_heartbeat heartbeat;
@@ -207,6 +244,7 @@
     for (const auto each : root.getEvidence())
         heartbeat.evidence.push_back(read_evidence(each));
     heartbeat.crashes = read_crashes(root);
+    heartbeat.limits = read_limits(root);
     return heartbeat;
 }
 
@@ -336,6 +374,7 @@
     for (unsigned i = 0; i < evidence.size(); ++i)
         write_evidence(evidence[i], heartbeat.evidence[i]);
     write_crashes(root, heartbeat.crashes);
+    write_limits(root, heartbeat.limits);
     return flatten(message);
 }
 
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <cstdint> // uint64_t
-#include <string>  // string
-#include <variant> // variant
-#include <vector>  // vector
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
+#include <variant>  // variant
+#include <vector>   // vector
 
 #include <rhubarbgrade/detail/base/error.hpp>             // result
 #include <rhubarbgrade/detail/escrow/account_change.hpp>  // account_change
@@ -47,6 +48,17 @@
     std::vector<shared_quarantine> quarantined;
 };
 
+/// @brief An endpoint's request limit as one host has observed it.
+struct shared_limit
+{
+    std::uint64_t process = 0; ///< hash of the endpoint's process
+    double per_s = 0;
+    /// Since the last answer that named it; empty if there was none.
+    std::optional<milliseconds> named_age;
+    /// Since the last request whose answer named none.
+    std::optional<milliseconds> unnamed_age;
+};
+
 /// @brief The datagram that a host sends to its peers several times a second.
 struct peer_heartbeat
 {
@@ -58,6 +70,7 @@
     std::uint64_t state_digest = 0;  ///< hash of the endpoints and moves
     std::vector<shared_evidence> evidence;
     shared_crashes crashes;
+    std::vector<shared_limit> limits;
 };
 
 /// @brief A move as one host has it.
