Trials of a quarantined suspect are four times as far apart each

A trial can cost an endpoint its running answers. Within the hour that a quarantine lasts there were five trials, and a bound for requests with a bad part counts all of them; now there are three, after 1, 5 and 21 minutes. The bound in the unit test is the hour of a quarantine and the three requests that are allowed after the fifth crash.

--- a/src/routing/crash_evidence.cpp
+++ b/src/routing/crash_evidence.cpp
@@ -12,8 +12,10 @@
 /// Crashes less than this apart count as one event.
 constexpr milliseconds same_event{100};
 
-/// Time to the first trial; the time to each further one doubles.
+/// Time to the first trial, and the factor by which each further one takes
+/// longer.
 constexpr std::chrono::minutes first_trial{1};
+constexpr int trial_backoff = 4;
 
 /// @brief The crashes that one suspect may have caused.
 struct charge
@@ -145,7 +147,7 @@
     for (auto due = interval; age >= due; due += interval)
     {
         ++trials;
-        interval *= 2;
+        interval *= trial_backoff;
     }
     return trials;
 }
