Refuse requests when all engines have long queues

When endpoints name request limits, the requests that they may no longer get went to the other engines, however long their queues: callers waited until they gave up, and the work done for them was lost.

An engine that reports four waiting requests, or lets this host's requests wait for twice the objective of the one to be placed, gets no more; a host also takes its own delayed requests for a sample of what all hosts have there. If that leaves no engine, the request is refused at once.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -305,6 +305,7 @@
     criteria.prompt_tokens = m_head.prompt_tokens;
     criteria.tried = m_tried;
     criteria.repeatable = m_route->kind == call_kind::idempotent;
+    criteria.objective = m_route->objective;
     const auto until =
         std::min(m_deadline, m_started + m_route->objective / wait_divisor);
     for (;;)
@@ -313,23 +314,23 @@
             m_context.directory.choose(criteria, time_point_t::clock::now());
         if (chosen || m_disconnected || m_deadline_passed)
             co_return chosen;
-        m_limit_wait = m_context.directory.limit_wait(
-            m_service, time_point_t::clock::now());
-        if (m_limit_wait)
+        m_capacity_wait = m_context.directory.capacity_wait(
+            criteria, time_point_t::clock::now());
+        if (m_capacity_wait)
             co_return nullptr;
         if (!co_await m_context.wait_queue.wait(m_service, until))
             co_return nullptr;
     }
 }
 
-local_response caller_exchange::limit_response()
+local_response caller_exchange::capacity_response()
 {
-    ++m_context.counters.limited;
-    const auto retry_after = *m_limit_wait + random_retry_after();
-    spdlog::info("event=limit_refusal request={} service={} retry_after_ms={}",
-                 m_head.id, m_service, retry_after.count());
-    return {unavailable, "the endpoints' request limits are used up",
-            retry_after};
+    ++m_context.counters.no_capacity;
+    const auto retry_after = *m_capacity_wait + random_retry_after();
+    spdlog::info(
+        "event=capacity_refusal request={} service={} retry_after_ms={}",
+        m_head.id, m_service, retry_after.count());
+    return {unavailable, "all endpoints are at their limits", retry_after};
 }
 
 bool caller_exchange::may_repeat(const attempt_report& report)
@@ -511,8 +512,8 @@
                             {}};
     if (!m_may_have_run && quarantined)
         response = quarantine_response();
-    else if (!m_may_have_run && m_limit_wait)
-        response = limit_response();
+    else if (!m_may_have_run && m_capacity_wait)
+        response = capacity_response();
     else if (!m_may_have_run)
     {
         ++m_context.counters.no_endpoint;
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -62,7 +62,7 @@
     /// Returns the response if it must be refused.
     std::optional<local_response> check_request();
     bool may_repeat(const attempt_report& report);
-    local_response limit_response();
+    local_response capacity_response();
     void start_deadline_timer();
     /// The prompt parts that the request shares with others, and the request as
     /// a whole, identified by a hash of key, target and body.
@@ -92,8 +92,8 @@
     response_writer m_writer;
     std::shared_ptr<endpoint_attempt> m_attempt;
     std::vector<endpoint_ptr_t> m_tried;
-    /// Set if only request limits keep the request from all endpoints.
-    std::optional<milliseconds> m_limit_wait;
+    /// Set if all endpoints have used up their request limits or are saturated.
+    std::optional<milliseconds> m_capacity_wait;
     token_count_t m_reserved_tokens = 0; ///< 0 if nothing is reserved
     bool m_may_have_run = false;
     bool m_is_trial = false; ///< runs in spite of a quarantine
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -234,8 +234,12 @@
         co_return report;
     std::unique_ptr<parser_t> parser;
     platform::response_head head;
-    if (!co_await send(params, report) ||
-        !co_await read_head(params, parser, head))
+    endpoint_directory::record_sent(*m_endpoint, started_at);
+    const bool answered = co_await send(params, report) &&
+                          co_await read_head(params, parser, head);
+    endpoint_directory::record_first_byte(*m_endpoint, started_at,
+                                          time_point_t::clock::now());
+    if (!answered)
     {
         report.connection_broken =
             report.outcome == attempt_outcome::may_have_run;
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // count_if, find, max, min
 #include <cmath>     // exp
+#include <iterator>  // distance
 #include <memory>    // make_shared, weak_ptr
 #include <utility>   // move
 
@@ -51,6 +52,12 @@
 /// Time constant, in seconds, of the exponential decay of a reported load.
 constexpr double load_decay_s = 1.0;
 
+/// The same for a reported queue, which takes longer to be worked off.
+constexpr double queue_decay_s = 2.0;
+
+/// A request that has no answer after this time waits in a queue.
+constexpr milliseconds prompt_answer_time{250};
+
 /// Hash by which requests with a common prompt prefix go to the same endpoints;
 /// 0 if the request has no prompt parts.
 std::uint64_t affinity_of(std::span<const platform::prompt_part> parts)
@@ -94,6 +101,31 @@
            (endpoint.entry.version == split->target) == to_trial_version;
 }
 
+/// What this host knows of an engine's queue; it fades with its age.
+engine_queue queue_of(const pool_endpoint& endpoint, std::size_t hosts,
+                      time_point_t now)
+{
+    const auto decay = [now](time_point_t at)
+    {
+        const std::chrono::duration<double> age = now - at;
+        return std::exp(-age.count() / queue_decay_s);
+    };
+    const auto last = endpoint.last_wait * decay(endpoint.last_wait_at);
+    auto wait = std::chrono::duration_cast<milliseconds>(last);
+    if (!endpoint.unanswered.empty())
+        wait = std::max(wait, std::chrono::duration_cast<milliseconds>(
+                                  now - *endpoint.unanswered.begin()));
+    const auto delayed = std::distance(
+        endpoint.unanswered.begin(),
+        endpoint.unanswered.upper_bound(now - prompt_answer_time));
+    // The other hosts are assumed to have as many there.
+    const auto own_share = static_cast<double>(delayed) *
+                           static_cast<double>(std::max<std::size_t>(1, hosts));
+    return {std::max(own_share,
+                     endpoint.reported_waiting * decay(endpoint.reported_at)),
+            wait};
+}
+
 /// Idle time from which a connection is no longer reused.
 milliseconds max_idle_time(const endpoint_link& link)
 {
@@ -173,23 +205,39 @@
     endpoint.bucket.tokens -= 1;
 }
 
+bool endpoint_directory::has_engine(std::string_view service) const
+{
+    if (!m_view->configuration)
+        return false;
+    const auto& services = m_view->configuration->services;
+    const auto found = services.find(service);
+    return found != services.end() && found->second.engine;
+}
+
 std::optional<milliseconds>
-endpoint_directory::limit_wait(std::string_view service, time_point_t now) const
+endpoint_directory::capacity_wait(const endpoint_criteria& criteria,
+                                  time_point_t now) const
 {
-    const auto pool = m_by_service.find(service);
+    const bool engine = has_engine(criteria.service);
+    const auto pool = m_by_service.find(criteria.service);
     if (pool == m_by_service.end())
         return std::nullopt;
     std::optional<milliseconds> shortest;
     for (const auto& each : pool->second)
     {
-        if (!each->share)
-            return std::nullopt;
-        refill(each->bucket, *each->share, now);
-        if (has_token(each->bucket))
+        if (each->share)
+            refill(each->bucket, *each->share, now);
+        if (each->share && !has_token(each->bucket))
+        {
+            const auto wait = time_to_token(each->bucket, *each->share);
+            if (wait && (!shortest || *wait < *shortest))
+                shortest = wait;
+        }
+        else if (engine && is_saturated(queue_of(*each, m_view->hosts, now),
+                                        criteria.objective))
+            shortest = milliseconds(0);
+        else
             return std::nullopt;
-        const auto wait = time_to_token(each->bucket, *each->share);
-        if (wait && (!shortest || *wait < *shortest))
-            shortest = wait;
     }
     return shortest.value_or(milliseconds(0));
 }
@@ -229,6 +277,7 @@
 {
     std::vector<placing_candidate> candidates;
     candidates.reserve(pool.size());
+    const bool engine = has_engine(criteria.service);
     for (const auto& each : pool)
     {
         placing_candidate candidate_state;
@@ -239,6 +288,8 @@
         const std::chrono::duration<double> age = now - each->reported_at;
         candidate_state.reported_load =
             each->reported_load * std::exp(-age.count() / load_decay_s);
+        if (engine)
+            candidate_state.queue = queue_of(*each, m_view->hosts, now);
         candidate_state.failure_rate = each->failure_rate;
         candidate_state.prompt_tokens_waiting = each->prompt_tokens_waiting;
         candidate_state.cached_tokens =
@@ -258,7 +309,7 @@
     const auto index =
         place(candidates,
               {affinity_of(criteria.parts), criteria.prompt_tokens,
-               shared_tokens(criteria.parts)},
+               shared_tokens(criteria.parts), criteria.objective},
               costs, m_random);
     return index ? pool[*index] : nullptr;
 }
@@ -342,6 +393,24 @@
         endpoint.ejected_until = now + ejection_time;
 }
 
+void endpoint_directory::record_sent(pool_endpoint& endpoint, time_point_t now)
+{
+    endpoint.unanswered.insert(now);
+}
+
+void endpoint_directory::record_first_byte(pool_endpoint& endpoint,
+                                           time_point_t sent_at,
+                                           time_point_t now)
+{
+    const auto found = endpoint.unanswered.find(sent_at);
+    if (found == endpoint.unanswered.end())
+        return;
+    endpoint.unanswered.erase(found);
+    endpoint.last_wait =
+        std::chrono::duration_cast<milliseconds>(now - sent_at);
+    endpoint.last_wait_at = now;
+}
+
 void endpoint_directory::record_load(pool_endpoint& endpoint,
                                      const platform::response_head& head,
                                      time_point_t now)
@@ -350,6 +419,7 @@
         return;
     endpoint.reported_load = static_cast<double>(head.running + head.waiting) /
                              std::max(1, head.slots);
+    endpoint.reported_waiting = head.waiting;
     endpoint.reported_at = now;
 }
 
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -36,6 +36,7 @@
     token_count_t prompt_tokens = 0;
     std::span<const endpoint_ptr_t> tried; ///< not chosen again
     bool repeatable = false;
+    milliseconds objective = milliseconds::max(); ///< of the latency
 };
 
 /// @brief Result of opening a connection.
@@ -68,10 +69,11 @@
     static void count_request(pool_endpoint& endpoint, time_point_t now);
 
     /// @brief Time until this host may send another request to the service, if
-    ///        only the request limits of its endpoints keep it from that. Zero
-    ///        if this host has no share, but another host may have.
-    std::optional<milliseconds> limit_wait(std::string_view service,
-                                           time_point_t now) const;
+    ///        all of its endpoints have used up their request limits or are
+    ///        saturated. Zero if that can't be told.
+    /// @return empty if there is another endpoint
+    std::optional<milliseconds> capacity_wait(const endpoint_criteria& criteria,
+                                              time_point_t now) const;
 
     /// @brief Whether any endpoint of the service is known.
     bool serves(std::string_view service) const;
@@ -98,6 +100,15 @@
     ///        and ejects the endpoint after repeated failures.
     void record_result(pool_endpoint& endpoint, bool success, time_point_t now);
 
+    /// @brief Records that a request is being sent.
+    static void record_sent(pool_endpoint& endpoint, time_point_t now);
+
+    /// @brief Records the first byte of an answer, or the end of an attempt
+    ///        without one.
+    /// @param[in] sent_at  as given to @ref record_sent
+    static void record_first_byte(pool_endpoint& endpoint, time_point_t sent_at,
+                                  time_point_t now);
+
     /// @brief Records the load that an endpoint has reported in a response, if
     ///        the response contains one.
     static void record_load(pool_endpoint& endpoint,
@@ -115,6 +126,7 @@
     void close_idle_connections(time_point_t now);
 
 private:
+    bool has_engine(std::string_view service) const;
     endpoint_ptr_t choose_from(const std::vector<endpoint_ptr_t>& pool,
                                const endpoint_criteria& criteria,
                                const trial_split* split, bool to_trial_version,
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>       // uint32_t, uint64_t
 #include <list>          // list
 #include <optional>      // optional
+#include <set>           // multiset
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
 
@@ -48,7 +49,12 @@
     double failure_rate = 0;                 ///< moving average, 0 to 1
     int consecutive_failures = 0;
     time_point_t ejected_until{};
-    double reported_load = 0; ///< requests per slot
+    double reported_load = 0;    ///< requests per slot
+    double reported_waiting = 0; ///< requests without a slot or memory
+    /// When requests were sent that have no answer yet.
+    std::multiset<time_point_t> unanswered;
+    milliseconds last_wait{0}; ///< of the last request to get one or to end
+    time_point_t last_wait_at{};
     time_point_t reported_at{};
     recent_prompt_parts recent_parts;
     /// This host's share of the endpoint's request limit, if it has one.
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -50,7 +50,8 @@
     std::uint64_t no_draws = 0;    ///< the store takes no draws at present
     std::uint64_t no_endpoint = 0; ///< no endpoint has a free slot
     std::uint64_t quarantined = 0; ///< has crashed endpoints
-    std::uint64_t limited = 0; ///< the endpoints' request limits are used up
+    std::uint64_t no_capacity =
+        0; ///< request limits used up, engines saturated
 };
 
 /// @brief State shared by all sessions; used by the traffic thread only.
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -214,12 +214,12 @@
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
-                 "limited={} in_flight={}",
+                 "no_capacity={} in_flight={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
-                 counters.limited, m_context.in_flight);
+                 counters.no_capacity, m_context.in_flight);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/src/placing/place.cpp
+++ b/src/placing/place.cpp
@@ -22,6 +22,14 @@
 /// Number of endpoints sampled for a request without shared parts.
 constexpr std::size_t unshared_samples = 3;
 
+/// Waiting requests from which an engine gets no more. Below saturation, a few
+/// wait at most.
+constexpr double max_waiting = 4;
+
+/// Wait for a first byte, in latency objectives, from which an engine gets no
+/// more. Callers give up at four.
+constexpr int max_objectives = 2;
+
 std::uint64_t mix(std::uint64_t value)
 {
     // Finalizer of the 64-bit Murmur hash.
@@ -55,9 +63,11 @@
            (candidate.same_zone ? 0 : costs.other_zone_ms);
 }
 
-bool has_slot(const placing_candidate& candidate)
+bool has_slot(const placing_candidate& candidate,
+              const placing_request& request)
 {
-    return candidate.usable && candidate.in_flight < candidate.limit;
+    return candidate.usable && candidate.in_flight < candidate.limit &&
+           !is_saturated(candidate.queue, request.objective);
 }
 
 /// Moves the endpoints assigned to the request's shared parts to the front of
@@ -80,6 +90,12 @@
 
 } // namespace
 
+bool is_saturated(const engine_queue& queue, milliseconds objective)
+{
+    return queue.waiting >= max_waiting ||
+           queue.wait / max_objectives >= objective;
+}
+
 std::optional<std::size_t> place(std::span<const placing_candidate> candidates,
                                  const placing_request& request,
                                  const placing_costs& costs,
@@ -87,7 +103,7 @@
 {
     std::vector<std::size_t> available;
     for (std::size_t i = 0; i < candidates.size(); ++i)
-        if (has_slot(candidates[i]))
+        if (has_slot(candidates[i], request))
             available.push_back(i);
     if (available.empty())
         return std::nullopt;
--- a/tests/unit/unit-limits.cpp
+++ b/tests/unit/unit-limits.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <platform/caller_codec.hpp>
+#include <rhubarbgrade/detail/placing/place.hpp>
 #include <rhubarbgrade/detail/routing/request_limit.hpp>
 
 #include "../../src/node/limit_pool.hpp"
@@ -145,6 +146,36 @@
     }
 }
 
+TEST_CASE("an engine with a long queue gets no more requests", "[limits]")
+{
+    const auto objective = milliseconds(600);
+    CHECK_FALSE(is_saturated({}, objective));
+    CHECK_FALSE(is_saturated({3, milliseconds(1100)}, objective));
+    CHECK(is_saturated({4, milliseconds(0)}, objective));
+    CHECK(is_saturated({0, milliseconds(1200)}, objective));
+    CHECK_FALSE(is_saturated({0, milliseconds(1200)}, milliseconds(800)));
+
+    std::vector<placing_candidate> candidates(3);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        candidates[i].identity = i + 1;
+        candidates[i].limit = 9;
+        candidates[i].queue = {40, milliseconds(0)};
+    }
+    placing_request request;
+    request.affinity = 7;
+    request.objective = objective;
+    std::mt19937 engine(1); // NOLINT(cert-msc51-cpp): fixed for CI
+    const random_source_t random = [&]
+    {
+        return engine();
+    };
+    CHECK_FALSE(place(candidates, request, {}, random));
+    candidates[2].queue = {};
+    for (int i = 0; i < 20; ++i)
+        CHECK(place(candidates, request, {}, random) == std::size_t{2});
+}
+
 TEST_CASE("a refused host is told when it may send again", "[limits]")
 {
     const request_share share{2, 1};
