--- a/tests/unit/unit-crashes.cpp
+++ b/tests/unit/unit-crashes.cpp
@@ -330,8 +330,9 @@
         constexpr milliseconds step{10};
         for (auto end = m_now + duration; m_now < end; m_now += step)
         {
-            if (chance(sound_per_s / 100))
-                send({pick(20), 1000 + pick(139)});
+            for (auto due = sound_per_s / 100; due > 0; due -= 1)
+                if (chance(due))
+                    send({pick(20), 1000 + pick(139)});
             if (chance(bad_per_s / 100))
                 send({pick(20), bad_part});
             finish_requests();
@@ -510,3 +511,17 @@
     CHECK(fleet.late() <= 3);
     CHECK(fleet.wrongly_refused() == 0);
 }
+
+TEST_CASE("a bad part soon stops in a simulated fleet of many hosts",
+          "[crashes]")
+{
+    const auto seed = GENERATE(range(1U, 4U));
+    INFO("seed " << seed);
+    simulated_fleet fleet(seed, 79, 144);
+    fleet.run(seconds(2), 700, 0);
+    const double bad_per_s = 6 * seed;
+    fleet.run(seconds(15), 700, bad_per_s);
+    CHECK(fleet.crashes() >= 3);
+    CHECK(fleet.late() <= 3);
+    CHECK(fleet.wrongly_refused() == 0);
+}
