Queued requests count from half the objective on; refusals of the quarantine are counted

A host took its own requests for queued after 250 ms, whatever the route: for a route with an objective of a second that is an ordinary wait, and with few hosts it could have shut an engine out. Half the objective counts now, 250 ms at least. The counter of quarantine refusals was logged but never raised. Accesses to optional values are written so that the linter can check them.

--- a/include/rhubarbgrade/detail/placing/place.hpp
+++ b/include/rhubarbgrade/detail/placing/place.hpp
@@ -69,9 +69,8 @@
 /// so that all hosts send them to the same prefix caches, and some chosen at
 /// random. Other requests compare random endpoints, so that hosts with the same
 /// load reports don't all choose the same one.
-/// @return index of the choice, or nothing if no endpoint has a free slot or
-/// all
-///         that have one are saturated
+/// @return index of the choice, or nothing if no endpoint has a free slot and
+///         is not saturated
 /// @note Complexity: linear in the number of candidates.
 std::optional<std::size_t> place(std::span<const placing_candidate> candidates,
                                  const placing_request& request,
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -223,7 +223,10 @@
         spdlog::info("event={} request={} suspect={:x} sends={}",
                      m_is_trial ? "quarantine_trial" : "quarantine_refusal",
                      m_head.id, *decision.suspect, m_tried.size());
-    return decision.suspect && !m_is_trial;
+    const bool refused = decision.suspect && !m_is_trial;
+    if (refused)
+        ++m_context.counters.quarantined;
+    return refused;
 }
 
 std::optional<local_response> caller_exchange::check_request()
@@ -323,10 +326,10 @@
     }
 }
 
-local_response caller_exchange::capacity_response()
+local_response caller_exchange::capacity_response(milliseconds wait)
 {
     ++m_context.counters.no_capacity;
-    const auto retry_after = *m_capacity_wait + random_retry_after();
+    const auto retry_after = wait + random_retry_after();
     spdlog::info(
         "event=capacity_refusal request={} service={} retry_after_ms={}",
         m_head.id, m_service, retry_after.count());
@@ -513,7 +516,7 @@
     if (!m_may_have_run && quarantined)
         response = quarantine_response();
     else if (!m_may_have_run && m_capacity_wait)
-        response = capacity_response();
+        response = capacity_response(*m_capacity_wait);
     else if (!m_may_have_run)
     {
         ++m_context.counters.no_endpoint;
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -62,7 +62,7 @@
     /// Returns the response if it must be refused.
     std::optional<local_response> check_request();
     bool may_repeat(const attempt_report& report);
-    local_response capacity_response();
+    local_response capacity_response(milliseconds wait);
     void start_deadline_timer();
     /// The prompt parts that the request shares with others, and the request as
     /// a whole, identified by a hash of key, target and body.
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -55,8 +55,9 @@
 /// The same for a reported queue, which takes longer to be worked off.
 constexpr double queue_decay_s = 2.0;
 
-/// A request that has no answer after this time waits in a queue.
-constexpr milliseconds prompt_answer_time{250};
+/// A request without an answer after half its objective, or this time, waits in
+/// a queue.
+constexpr milliseconds min_delay{250};
 
 /// Hash by which requests with a common prompt prefix go to the same endpoints;
 /// 0 if the request has no prompt parts.
@@ -101,8 +102,28 @@
            (endpoint.entry.version == split->target) == to_trial_version;
 }
 
+/// Whether the endpoint's request limit, if it has one, lets this host send a
+/// request.
+bool limit_allows(pool_endpoint& endpoint, time_point_t now)
+{
+    if (!endpoint.share)
+        return true;
+    refill(endpoint.bucket, *endpoint.share, now);
+    return has_token(endpoint.bucket);
+}
+
+/// Time until the endpoint's request limit lets this host send a request; empty
+/// if the host has no share of it.
+std::optional<milliseconds> time_to_token(const pool_endpoint& endpoint)
+{
+    if (!endpoint.share)
+        return std::nullopt;
+    return rhubarbgrade::time_to_token(endpoint.bucket, *endpoint.share);
+}
+
 /// What this host knows of an engine's queue; it fades with its age.
-engine_queue queue_of(const pool_endpoint& endpoint, std::size_t hosts,
+engine_queue queue_of(const pool_endpoint& endpoint,
+                      const endpoint_criteria& criteria, std::size_t hosts,
                       time_point_t now)
 {
     const auto decay = [now](time_point_t at)
@@ -115,9 +136,10 @@
     if (!endpoint.unanswered.empty())
         wait = std::max(wait, std::chrono::duration_cast<milliseconds>(
                                   now - *endpoint.unanswered.begin()));
-    const auto delayed = std::distance(
-        endpoint.unanswered.begin(),
-        endpoint.unanswered.upper_bound(now - prompt_answer_time));
+    const auto delayed =
+        std::distance(endpoint.unanswered.begin(),
+                      endpoint.unanswered.upper_bound(
+                          now - std::max(min_delay, criteria.objective / 2)));
     // The other hosts are assumed to have as many there.
     const auto own_share = static_cast<double>(delayed) *
                            static_cast<double>(std::max<std::size_t>(1, hosts));
@@ -225,16 +247,15 @@
     std::optional<milliseconds> shortest;
     for (const auto& each : pool->second)
     {
-        if (each->share)
-            refill(each->bucket, *each->share, now);
-        if (each->share && !has_token(each->bucket))
+        if (!limit_allows(*each, now))
         {
-            const auto wait = time_to_token(each->bucket, *each->share);
+            const auto wait = time_to_token(*each);
             if (wait && (!shortest || *wait < *shortest))
                 shortest = wait;
         }
-        else if (engine && is_saturated(queue_of(*each, m_view->hosts, now),
-                                        criteria.objective))
+        else if (engine &&
+                 is_saturated(queue_of(*each, criteria, m_view->hosts, now),
+                              criteria.objective))
             shortest = milliseconds(0);
         else
             return std::nullopt;
@@ -289,16 +310,15 @@
         candidate_state.reported_load =
             each->reported_load * std::exp(-age.count() / load_decay_s);
         if (engine)
-            candidate_state.queue = queue_of(*each, m_view->hosts, now);
+            candidate_state.queue =
+                queue_of(*each, criteria, m_view->hosts, now);
         candidate_state.failure_rate = each->failure_rate;
         candidate_state.prompt_tokens_waiting = each->prompt_tokens_waiting;
         candidate_state.cached_tokens =
             cached_tokens(*each, criteria.parts, now);
-        if (each->share)
-            refill(each->bucket, *each->share, now);
         candidate_state.usable =
             each->listed && now >= each->ejected_until &&
-            (!each->share || has_token(each->bucket)) &&
+            limit_allows(*each, now) &&
             version_allowed(*each, to_trial_version, split) &&
             std::find(criteria.tried.begin(), criteria.tried.end(), each) ==
                 criteria.tried.end();
