A late report on an expired crash no longer ends the heartbeats

A host whose own report referred to a record that had expired and come back from a peer without that suspect threw out of the heartbeat task, which ends it for good: peers would have taken the host for gone. Found by reading; the new unit test failed with map::at before.

--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -173,13 +173,17 @@
     {
         const auto& [process, id] = key;
         const auto found = m_crashes.find(process);
-        if (found == m_crashes.end() || now - at > report_time ||
+        if (found == m_crashes.end() || now - at > report_time)
+            continue;
+        // The record may have expired and come back from a peer.
+        const auto suspect = found->second.suspects.find(id);
+        if (suspect == found->second.suspects.end() ||
             ++suspects > max_shared_suspects)
             continue;
         auto& crash = reported[process];
         crash.process = process;
         crash.age = age_of(found->second.at, now);
-        crash.suspects[id] = found->second.suspects.at(id);
+        crash.suspects.insert(*suspect);
     }
     for (auto& [process, crash] : reported)
         all.crashes.push_back(std::move(crash));
--- a/tests/unit/unit-crashes.cpp
+++ b/tests/unit/unit-crashes.cpp
@@ -241,6 +241,25 @@
     CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
 }
 
+TEST_CASE("a late report on a crash that has expired is passed on safely",
+          "[crashes]")
+{
+    crash_pool first("h1");
+    crash_pool second("h2");
+    first.record_crash(11, request({1, 7}, 101), start);
+    second.record_crash(11, request({2, 8}, 102), start);
+    auto now = start + seconds(59);
+    first.clear(7, now);
+    second.clear(8, now);
+    now = start + seconds(60) + milliseconds(10);
+    const auto late = second.shared(start + seconds(60));
+    first.update(now);
+    first.merge(late, now);
+    const auto published = first.shared(now);
+    for (const auto& each : published.crashes)
+        CHECK(each.suspects.count(7) == 0);
+}
+
 TEST_CASE("crashes and quarantines expire", "[crashes]")
 {
     crash_pool pool("h1");
