Release a quarantine only on reports that are 1.5 s old

A release ends a quarantine at all hosts. It was decided on reports 200 ms old: a host that had missed one datagram could find another explanation for the crashes, release the bad part everywhere and clear it of its crashes. Now three heartbeats have to have had the time to arrive.

--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -26,6 +26,10 @@
 /// Time in which the reports of other hosts on a crash arrive.
 constexpr milliseconds settle_time{200};
 
+/// Time in which they arrive even if two heartbeats are lost. A release ends a
+/// quarantine at all hosts, so it takes more certainty than a quarantine.
+constexpr milliseconds confirm_time{1500};
+
 /// Time for which an observation is published, in case that heartbeats are
 /// lost.
 constexpr std::chrono::seconds report_time{5};
@@ -57,20 +61,27 @@
     return ids;
 }
 
-void crash_pool::update_quarantine(time_point_t now)
+crash_records_t crash_pool::crashes_before(time_point_t latest) const
 {
-    auto settled = m_crashes;
-    std::erase_if(settled,
-                  [now](const auto& each)
+    auto crashes = m_crashes;
+    std::erase_if(crashes,
+                  [latest](const auto& each)
                   {
-                      return now - each.second.at < settle_time;
+                      return each.second.at > latest;
                   });
+    return crashes;
+}
+
+void crash_pool::update_quarantine(time_point_t now)
+{
     // A quarantine that rests on the reports of a few hosts can turn out wrong
     // when the others arrive.
-    const auto causes = find_crash_causes(settled, {});
+    const auto confirmed = crashes_before(now - confirm_time);
+    const auto causes = find_crash_causes(confirmed, {});
     for (const auto id : in_quarantine())
-        if (is_exonerated(id, settled, causes))
+        if (is_exonerated(id, confirmed, causes))
             release(id, now);
+    const auto settled = crashes_before(now - settle_time);
     for (const auto id : find_crash_causes(settled, in_quarantine()))
     {
         m_quarantine[id] = {now, false, {}};
--- a/src/node/crash_pool.hpp
+++ b/src/node/crash_pool.hpp
@@ -70,6 +70,7 @@
 
     void clear_records(std::uint64_t suspect, time_point_t now);
     std::set<std::uint64_t> in_quarantine() const;
+    crash_records_t crashes_before(time_point_t latest) const;
     void update_quarantine(time_point_t now);
     void release(std::uint64_t suspect, time_point_t now);
     void merge_quarantine(const shared_quarantine& known, time_point_t now);
