Draw once for each request whether it goes to a version on trial

Callers saw a bad version answer far more of their requests than its share. endpoint_directory::choose drew anew at each call, and a request that waits for an endpoint calls it at each wake. While the proven version was full, nearly every waiting request was drawn onto the version on trial sooner or later.

Now a request draws one number, and compares it with the share that is in force at each choice. A retry goes to the proven version while the share is below one, as nearly all retries did before; else a request that failed on trial would be sent there again.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -70,15 +70,20 @@
     return target.substr(0, target.find('?'));
 }
 
+/// A random number in [0, 1).
+double draw_uniform(const random_source_t& random)
+{
+    constexpr std::uint64_t steps = 1U << 20U;
+    return static_cast<double>(random() % steps) / static_cast<double>(steps);
+}
+
 const std::string& pick_service(const route& matched_route,
                                 const random_source_t& random)
 {
     double total_weight = 0;
     for (const auto& each : matched_route.services)
         total_weight += each.weight;
-    constexpr double steps = 1U << 20U;
-    auto remaining =
-        total_weight * static_cast<double>(random() % (1U << 20U)) / steps;
+    auto remaining = total_weight * draw_uniform(random);
     for (const auto& each : matched_route.services)
     {
         if (remaining < each.weight)
@@ -148,7 +153,8 @@
       m_started(time_point_t::clock::now()),
       m_deadline(m_started),
       m_deadline_timer(context.executor),
-      m_writer(m_session->socket())
+      m_writer(m_session->socket()),
+      m_version_draw(draw_uniform(context.random))
 {
 }
 
@@ -307,6 +313,7 @@
     criteria.parts = m_head.parts;
     criteria.prompt_tokens = m_head.prompt_tokens;
     criteria.tried = m_tried;
+    criteria.version_draw = m_version_draw;
     criteria.repeatable = m_route->kind == call_kind::idempotent;
     criteria.objective = m_route->objective;
     const auto until =
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -92,6 +92,7 @@
     response_writer m_writer;
     std::shared_ptr<endpoint_attempt> m_attempt;
     std::vector<endpoint_ptr_t> m_tried;
+    double m_version_draw; ///< see endpoint_criteria
     /// Set if all endpoints have used up their request limits or are saturated.
     std::optional<milliseconds> m_capacity_wait;
     token_count_t m_reserved_tokens = 0; ///< 0 if nothing is reserved
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -94,6 +94,15 @@
     return cached;
 }
 
+/// Whether the request is to go to the version on trial. A retry does not, so
+/// that a request that failed there is not sent there again.
+bool goes_to_trial(const trial_split* split, const endpoint_criteria& criteria)
+{
+    if (split == nullptr || criteria.version_draw >= split->target_share)
+        return false;
+    return criteria.tried.empty() || split->target_share >= 1;
+}
+
 /// Whether the endpoint runs a version that the request may go to.
 bool version_allowed(const pool_endpoint& endpoint, bool to_trial_version,
                      const trial_split* split)
@@ -277,12 +286,7 @@
     const auto found = m_view->splits.find(criteria.service);
     const auto* split =
         found == m_view->splits.end() ? nullptr : &found->second;
-    constexpr double share_steps = 10000;
-    const bool to_trial_version =
-        split != nullptr &&
-        static_cast<double>(m_random() %
-                            static_cast<std::uint64_t>(share_steps)) <
-            split->target_share * share_steps;
+    const bool to_trial_version = goes_to_trial(split, criteria);
     auto chosen =
         choose_from(pool->second, criteria, split, to_trial_version, now);
     // If the version on trial has no free endpoint, its requests fall back to
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -35,6 +35,9 @@
     std::span<const platform::prompt_part> parts; ///< of the prompt, in order
     token_count_t prompt_tokens = 0;
     std::span<const endpoint_ptr_t> tried; ///< not chosen again
+    /// Uniform in [0, 1), drawn once for a request. Below the share of a
+    /// version on trial, the request goes to that version.
+    double version_draw = 0;
     bool repeatable = false;
     milliseconds objective = milliseconds::max(); ///< of the latency
 };
