Refuse at once when the versions that a request may go to are full

While a version was on trial, callers waited up to half their objective and were refused then, though no endpoint that their request may go to could take it. capacity_wait regarded all endpoints of the service, so the free ones of the version on trial counted as room for every request.

Evidence: the new test, with queues at all endpoints of the proven version and none at the others: before, no wait was told to a request that is not drawn onto the version on trial (CHECK(fleet.capacity_wait(0.5)) failed); it is now, and a request that is drawn onto it still finds room.

Endpoints of other versions are now left out. If no endpoint of the right version is listed, requests wait as before, since one may be listed in a moment.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -103,6 +103,13 @@
     return criteria.tried.empty() || split->target_share >= 1;
 }
 
+/// Whether the request goes to the proven version if the version on trial has
+/// no free endpoint. Requests never fall back to the version on trial.
+bool falls_back(const trial_split* split, bool to_trial_version)
+{
+    return to_trial_version && split->target_share < 1;
+}
+
 /// Whether the endpoint runs a version that the request may go to.
 bool version_allowed(const pool_endpoint& endpoint, bool to_trial_version,
                      const trial_split* split)
@@ -253,9 +260,16 @@
     const auto pool = m_by_service.find(criteria.service);
     if (pool == m_by_service.end())
         return std::nullopt;
+    const auto* split = find_split(criteria.service);
+    const bool to_trial_version = goes_to_trial(split, criteria);
+    const bool any_version = falls_back(split, to_trial_version);
+    bool any_allowed = false;
     std::optional<milliseconds> shortest;
     for (const auto& each : pool->second)
     {
+        if (!any_version && !version_allowed(*each, to_trial_version, split))
+            continue;
+        any_allowed = true;
         if (!limit_allows(*each, now))
         {
             const auto wait = time_to_token(*each);
@@ -269,9 +283,19 @@
         else
             return std::nullopt;
     }
+    // Endpoints of the version may be listed in a moment.
+    if (!any_allowed)
+        return std::nullopt;
     return shortest.value_or(milliseconds(0));
 }
 
+const trial_split*
+endpoint_directory::find_split(std::string_view service) const
+{
+    const auto found = m_view->splits.find(service);
+    return found == m_view->splits.end() ? nullptr : &found->second;
+}
+
 bool endpoint_directory::serves(std::string_view service) const
 {
     return m_by_service.find(service) != m_by_service.end();
@@ -283,15 +307,11 @@
     const auto pool = m_by_service.find(criteria.service);
     if (pool == m_by_service.end())
         return nullptr;
-    const auto found = m_view->splits.find(criteria.service);
-    const auto* split =
-        found == m_view->splits.end() ? nullptr : &found->second;
+    const auto* split = find_split(criteria.service);
     const bool to_trial_version = goes_to_trial(split, criteria);
     auto chosen =
         choose_from(pool->second, criteria, split, to_trial_version, now);
-    // If the version on trial has no free endpoint, its requests fall back to
-    // the proven version; requests never fall back to the version on trial.
-    if (!chosen && to_trial_version && split->target_share < 1)
+    if (!chosen && falls_back(split, to_trial_version))
         chosen = choose_from(pool->second, criteria, split, false, now);
     return chosen;
 }
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -71,9 +71,9 @@
     ///        this host's share of its request limit.
     static void count_request(pool_endpoint& endpoint, time_point_t now);
 
-    /// @brief Time until this host may send another request to the service, if
-    ///        all of its endpoints have used up their request limits or are
-    ///        saturated. Zero if that can't be told.
+    /// @brief Time until this host may send the request, if all endpoints of
+    ///        the versions that it may go to have used up their request limits
+    ///        or are saturated. Zero if that can't be told.
     /// @return empty if there is another endpoint
     std::optional<milliseconds> capacity_wait(const endpoint_criteria& criteria,
                                               time_point_t now) const;
@@ -130,6 +130,8 @@
 
 private:
     bool has_engine(std::string_view service) const;
+    /// @return null if the service has no version on trial
+    const trial_split* find_split(std::string_view service) const;
     endpoint_ptr_t choose_from(const std::vector<endpoint_ptr_t>& pool,
                                const endpoint_criteria& criteria,
                                const trial_split* split, bool to_trial_version,
--- a/tests/unit/unit-directory.cpp
+++ b/tests/unit/unit-directory.cpp
@@ -1,4 +1,5 @@
-// Choice of endpoints by a host while a version is on trial.
+// Choice of endpoints by a host: versions on trial, and the wait of requests
+// that no endpoint can take.
 
 #include <memory>
 #include <random>
@@ -68,6 +69,14 @@
         return chosen ? chosen->entry.version : std::string();
     }
 
+    std::optional<milliseconds> capacity_wait(double draw) const
+    {
+        endpoint_criteria criteria;
+        criteria.service = "s";
+        criteria.version_draw = draw;
+        return m_directory.capacity_wait(criteria, start);
+    }
+
     /// The version that a request is sent to after one that failed at an
     /// endpoint of the version on trial.
     std::string choose_after_failed_trial()
@@ -117,6 +126,17 @@
     CHECK(exposed == share * requests);
 }
 
+TEST_CASE("a request that may not go to a version on trial does not wait for "
+          "its endpoints",
+          "[directory]")
+{
+    trial_fleet fleet(0.05);
+    CHECK_FALSE(fleet.capacity_wait(0.5));
+    fleet.saturate_proven();
+    CHECK(fleet.capacity_wait(0.5));
+    CHECK_FALSE(fleet.capacity_wait(0.01));
+}
+
 TEST_CASE("a request that failed at a version on trial is repeated at the "
           "proven one",
           "[directory]")
