--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -74,7 +74,8 @@
     /// @brief Time until this host may send the request, if all endpoints of
     ///        the versions that it may go to have used up their request limits
     ///        or are saturated. Zero if that can't be told.
-    /// @return empty if there is another endpoint
+    /// @return empty if it is worth waiting: another endpoint has room, or none
+    ///         of these versions is listed now
     std::optional<milliseconds> capacity_wait(const endpoint_criteria& criteria,
                                               time_point_t now) const;
 
