Drop an inexact duration from a comment of the linter script

The comment said that the slowest linter process takes a minute or two on a busy machine. No change to what the script does; run on one file, exit 0.

--- a/cmake/lint.sh
+++ b/cmake/lint.sh
@@ -3,8 +3,7 @@
 # Usage: cmake/lint.sh, or cmake/lint.sh LINTER FILE... for one process.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-# A linter that loops must not use up the time of a whole CI run; the slowest
-# process takes a minute or two on a busy machine.
+# A linter that loops must not use up the time of a whole CI run.
 limit=15m
 if [ $# -gt 0 ]; then
     linter=$1; shift
