Keep the culprit in quarantine when only its older crashes have another cause

Callers saw: requests with a part that crashes endpoints were let through again 0.7 s after it was quarantined, and requests with a sound part were refused for good in its place.

Cause: a quarantine is decided on crashes that are 0.2 s old, its release on those that are 1.5 s old. On these fewer crashes a request that came three times explains as much as its part and is more specific, so the part counted as exonerated, whatever it had crashed since. The release then cleared it of all its crashes, so that what ran beside it explained them best.

A release by better evidence now needs both sets of crashes to say so, and clears nothing; a whole answer still does.

--- a/src/node/crash_pool.cpp
+++ b/src/node/crash_pool.cpp
@@ -75,13 +75,16 @@
 void crash_pool::update_quarantine(time_point_t now)
 {
     // A quarantine that rests on the reports of a few hosts can turn out wrong
-    // when the others arrive.
+    // when the others arrive. Later crashes may still charge the suspect: the
+    // older ones alone may have another cause in common.
     const auto confirmed = crashes_before(now - confirm_time);
-    const auto causes = find_crash_causes(confirmed, {});
+    const auto settled = crashes_before(now - settle_time);
+    const auto confirmed_causes = find_crash_causes(confirmed, {});
+    const auto settled_causes = find_crash_causes(settled, {});
     for (const auto id : in_quarantine())
-        if (is_exonerated(id, confirmed, causes))
+        if (is_exonerated(id, confirmed, confirmed_causes) &&
+            is_exonerated(id, settled, settled_causes))
             release(id, now);
-    const auto settled = crashes_before(now - settle_time);
     for (const auto id : find_crash_causes(settled, in_quarantine()))
     {
         m_quarantine[id] = {now, false, {}};
@@ -97,7 +100,6 @@
         return;
     found->second.released = true;
     found->second.released_at = now;
-    clear_records(suspect, now);
     spdlog::info("event=quarantine_released suspect={:x} age_ms={}", suspect,
                  age_of(found->second.since, now).count());
 }
--- a/tests/unit/unit-crashes.cpp
+++ b/tests/unit/unit-crashes.cpp
@@ -242,6 +242,65 @@
     CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
 }
 
+TEST_CASE("older crashes alone do not release the part that explains all",
+          "[crashes]")
+{
+    crash_pool pool("h1");
+    auto now = start;
+    for (std::uint64_t i = 0; i < 20; ++i)
+    {
+        // The first crashes have a request in common, the others only a part;
+        // a sound part runs beside some of these.
+        if (i < 8)
+        {
+            pool.record_crash(i, request({1, 7}, i < 3 ? 101 : 102 + i), now);
+            if (i > 3 && i != 6)
+                pool.record_crash(i, request({1, 9}, 202 + i), now);
+        }
+        for (int step = 0; step < 3; ++step)
+        {
+            pool.clear(1, now);
+            pool.update(now);
+            now += milliseconds(100);
+        }
+        INFO("interval " << i);
+        const auto quarantined = ids(pool.quarantined(hosts, now));
+        CHECK(quarantined.contains(7) == (i >= 5));
+        CHECK_FALSE(quarantined.contains(9));
+    }
+}
+
+TEST_CASE(
+    "a sound part whose requests are refused is released with the reports "
+    "on the bad one",
+    "[crashes]")
+{
+    crash_pool first("h1");
+    crash_pool second("h2");
+    for (std::uint64_t i = 0; i < 3; ++i)
+    {
+        const auto at = start + static_cast<int>(i) * seconds(1);
+        first.record_crash(i, request({1, 9}, 101 + i), at);
+        second.record_crash(i, request({20 + i, 7}, 201 + i), at);
+    }
+    first.clear(1, start + seconds(2));
+    auto now = start + seconds(3);
+    first.update(now);
+    CHECK(ids(first.quarantined(hosts, now)) == id_set_t{9});
+    // No request with the sound part runs, so none can clear it.
+    second.record_crash(3, request({24, 7}, 204), now);
+    for (int step = 0; step < 40; ++step)
+    {
+        first.merge(second.shared(now), now);
+        second.merge(first.shared(now), now);
+        first.update(now);
+        second.update(now);
+        now += milliseconds(100);
+    }
+    CHECK(ids(first.quarantined(hosts, now)) == id_set_t{7});
+    CHECK(ids(second.quarantined(hosts, now)) == id_set_t{7});
+}
+
 TEST_CASE("a late report on a crash that has expired is passed on safely",
           "[crashes]")
 {
@@ -345,6 +404,15 @@
         }
     }
 
+    /// Lets all requests share few parts, and bad ones come again as they were.
+    void narrow_requests(std::uint64_t first_parts, std::uint64_t sound_parts,
+                         std::uint64_t bad_requests)
+    {
+        m_first_parts = first_parts;
+        m_sound_parts = sound_parts;
+        m_bad_requests = bad_requests;
+    }
+
     void run(seconds duration, double sound_per_s, double bad_per_s)
     {
         constexpr milliseconds step{10};
@@ -352,9 +420,9 @@
         {
             for (auto due = sound_per_s / 100; due > 0; due -= 1)
                 if (chance(due))
-                    send({pick(20), 1000 + pick(139)});
+                    send({pick(m_first_parts), 1000 + pick(m_sound_parts)});
             if (chance(bad_per_s / 100))
-                send({pick(20), bad_part});
+                send({pick(m_first_parts), bad_part});
             finish_requests();
             for (std::size_t i = 0; i < m_pools.size(); ++i)
             {
@@ -426,7 +494,9 @@
         running_request sent;
         sent.host = pick(m_pools.size());
         sent.bad = parts[1] == bad_part;
-        sent.suspects = request(parts, 1000000 + ++m_count);
+        sent.suspects = request(parts, sent.bad && m_bad_requests != 0
+                                           ? 900000 + pick(m_bad_requests)
+                                           : 1000000 + ++m_count);
         const auto quarantined = m_pools[sent.host].quarantined(hosts, m_now);
         std::map<std::uint64_t, int> trials;
         if (admit(sent.suspects, quarantined, trials).suspect)
@@ -512,6 +582,9 @@
     std::vector<time_point_t> m_crashes;
     std::vector<time_point_t> m_refusals; ///< of sound requests
     std::uint64_t m_count = 0;
+    std::uint64_t m_first_parts = 20;
+    std::uint64_t m_sound_parts = 139;
+    std::uint64_t m_bad_requests = 0; ///< 0: each is new
     int m_late = 0;
 };
 
@@ -545,3 +618,18 @@
     CHECK(fleet.late() <= 3);
     CHECK(fleet.wrongly_refused() == 0);
 }
+
+TEST_CASE("a bad part stays in quarantine if its requests come again and sound "
+          "ones share few parts",
+          "[crashes]")
+{
+    const auto seed = GENERATE(range(1U, 51U));
+    INFO("seed " << seed);
+    simulated_fleet fleet(seed, 9, 14);
+    fleet.narrow_requests(1, 3, 2 + seed % 7);
+    fleet.run(seconds(3), 50, 0);
+    fleet.run(seconds(25), 50, 4 + seed % 8);
+    CHECK(fleet.crashes() >= 3);
+    CHECK(fleet.late() <= 3);
+    CHECK(fleet.wrongly_refused() == 0);
+}
