Log the holdings that a write closes, and the tokens that count as spent

When all hosts die at once, holdings whose witnesses died too count as spent. How much that costs callers could not be told from the logs. One line an ended holding (owner, witness, reason, drawn), one a customer (counted, known to be used, stranded, undrawn), and a sum in event=escrow_calls.

Test: unit-witness, by its witness and in full.

--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -467,13 +467,13 @@
         "event=escrow_calls reads={} writes={} conflicts={} failures={} "
         "sent={} answered={} for_peers={} write_ms_mean={:.1f} "
         "write_ms_max={:.1f} account_bytes={} hosts={} revision={} witness={} "
-        "writer={}",
+        "writer={} stranded={}",
         m_calls.reads, m_calls.writes, m_calls.conflicts, m_calls.failures,
         m_calls.sent, m_calls.answered, m_calls.for_peers,
         any_write ? acc::mean(m_calls.write_ms) : 0,
         any_write ? acc::max(m_calls.write_ms) : 0, m_account_bytes,
         m_view.book.hosts.size(), m_view.revision, registered_witness().host,
-        choose_writer_now());
+        choose_writer_now(), m_stranded);
     m_calls = {};
 }
 
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -141,6 +141,7 @@
 
     planned_write apply_all(const changes_t& changes) const;
     milliseconds fail_all(const changes_t& changes);
+    void log_closed(const escrow_book& before, const escrow_book& after);
     boost::asio::awaitable<void> refresh(bool stale_allowed);
     boost::asio::awaitable<void> create_account();
     boost::asio::awaitable<milliseconds> step();
@@ -229,6 +230,9 @@
     time_point_t m_declared_at{};  ///< last time that it was sent
     std::minstd_rand m_random{std::random_device{}()};
     call_statistics m_calls;
+    /// Tokens of closed holdings that count as spent but were not reported as
+    /// used, over all writes of this process.
+    token_count_t m_stranded = 0;
     std::size_t m_account_bytes = 0; ///< as last read
     bool m_failing = false; ///< the current pause must not be cut short
     int m_consecutive_failures = 0;
--- a/src/node/escrow_writing.cpp
+++ b/src/node/escrow_writing.cpp
@@ -9,6 +9,7 @@
 #include <spdlog/spdlog.h> // warn
 
 #include <platform/store_calls.hpp> // object_target, spec_body
+#include <rhubarbgrade/detail/escrow/closed_holdings.hpp> // find_closed
 
 #include "../store/store_client.hpp" // store_client
 #include "escrow_calls.hpp"          // call_timeout, retry_delay
@@ -254,6 +255,37 @@
     return retry_delay;
 }
 
+/// Logs the holdings that a write has closed, and what it counts as spent.
+void escrow_keeper::log_closed(const escrow_book& before,
+                               const escrow_book& after)
+{
+    const auto closed = find_closed(before, after);
+    if (closed.holdings.empty())
+        return;
+    for (const auto& [holding, reason] : closed.holdings)
+    {
+        token_count_t drawn = 0;
+        for (const auto& [customer, tokens] : holding.drawn)
+            drawn += tokens;
+        spdlog::info("event=holding_closed owner={} incarnation={} witness={} "
+                     "reason={} drawn={}",
+                     holding.owner.host, holding.owner.incarnation,
+                     holding.witness.host, name_of(reason), drawn);
+    }
+    for (const auto& [customer, total] : closed.totals)
+    {
+        const auto stranded = total.drawn - std::min(total.drawn, total.used);
+        m_stranded += stranded;
+        const auto prepaid = m_budgets.find(customer);
+        spdlog::info("event=tokens_closed customer={} counted={} known_used={} "
+                     "stranded={} undrawn={}",
+                     customer, total.drawn, total.used, stranded,
+                     prepaid == m_budgets.end()
+                         ? 0
+                         : undrawn(after, customer, prepaid->second));
+    }
+}
+
 /// Writes the pending change of this host and those received from peers.
 /// @param[in] paced  whether to wait for the shortest interval between writes
 /// @return pause until the next step
@@ -306,6 +338,7 @@
     {
         m_consecutive_conflicts = 0;
         m_failed_writers = 0;
+        log_closed(m_view.book, plan.book);
         if (apply_object(reply.body, reply.era))
             answer_all(changes, m_view.book, plan.results);
         co_return milliseconds(0);
--- a/tests/unit/unit-witness.cpp
+++ b/tests/unit/unit-witness.cpp
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <rhubarbgrade/detail/escrow/closed_holdings.hpp>
 #include <rhubarbgrade/detail/escrow/escrow.hpp> // escrow_book
 
 using namespace rhubarbgrade;
@@ -396,3 +397,44 @@
         CHECK(book.ended.size() == 1);
     }
 }
+
+TEST_CASE("a write tells which holdings it closed, why, and at how much",
+          "[escrow]")
+{
+    escrow_book book;
+    const process_id witness{"b", "1"};
+    adopt(book, {"a", "1"}, "10.0.0.1:1", "z");
+    adopt(book, witness, "10.0.0.2:1", "z");
+    book.hosts["a"].drawn[customer_name] = 4000;
+    book.hosts["a"].used[customer_name] = 1000;
+    book.hosts["a"].witness = witness;
+    const auto running = book;
+    adopt(book, {"a", "2"}, "10.0.0.1:1", "z");
+    CHECK(find_closed(running, book).holdings.empty());
+    const auto ended = book;
+
+    SECTION("by its witness")
+    {
+        REQUIRE(close_ended(book, witness,
+                            {{{"a", "1"}, {{customer_name, 1500}}}}));
+        const auto closed = find_closed(ended, book);
+        REQUIRE(closed.holdings.size() == 1);
+        CHECK(closed.holdings[0].holding.owner == process_id{"a", "1"});
+        CHECK(closed.holdings[0].reason == closing_reason::confirmed);
+        CHECK(closed.totals.at(customer_name).drawn == 1500);
+        CHECK(closed.totals.at(customer_name).used == 1000);
+    }
+    SECTION("in full, as its witness has ended")
+    {
+        adopt(book, {"b", "2"}, "10.0.0.2:1", "z");
+        witness_record empty;
+        REQUIRE(close_ended(book, {"b", "2"}, empty));
+        const auto closed = find_closed(ended, book);
+        REQUIRE(closed.holdings.size() == 2);
+        CHECK(closed.holdings[0].reason == closing_reason::witness_ended);
+        CHECK(closed.holdings[1].holding.owner == witness);
+        CHECK(closed.holdings[1].reason == closing_reason::no_witness);
+        CHECK(closed.totals.at(customer_name).drawn == 4000);
+        CHECK(closed.totals.at(customer_name).used == 1000);
+    }
+}
