Failing test: hosts that reach no endpoint refuse their callers

Four hosts, seven endpoints; the store lists other addresses to two of the hosts, so that each of their links to an endpoint is a proxy of its own, which hangs or refuses.

--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -32,14 +32,16 @@
 {
 public:
     /// @param[in] overrides  replace members of the first configuration
-    explicit installation(const json& overrides = json::object())
+    /// @param[in] views      number of hosts with links of their own
+    explicit installation(const json& overrides = json::object(), int views = 0)
     {
         m_folder = fs::temp_directory_path() /
                    ("rhubarbgrade-node-" + std::to_string(::getpid()) + "-" +
                     std::to_string(++installation_count));
         fs::create_directories(m_folder);
         m_store = std::make_unique<process>(
-            std::vector<std::string>{build_folder() + "/tests/standin_store"},
+            std::vector<std::string>{build_folder() + "/tests/standin_store",
+                                     "--views=" + std::to_string(views)},
             log_path("store"));
         publish_configuration(1, overrides);
     }
@@ -47,6 +49,7 @@
     ~installation()
     {
         m_hosts.clear();
+        m_links.clear();
         m_replicas.clear();
         m_store.reset();
         std::error_code ignored; // a failure only leaves temporary files
@@ -208,6 +211,42 @@
         REQUIRE(client.Put("/fault", fault.dump(), "application/json"));
     }
 
+    /// Puts a fault proxy between one view's hosts and each endpoint that was
+    /// started.
+    void link_view(int view)
+    {
+        auto addresses = json::object();
+        for (const auto& [id, replica] : m_replicas)
+        {
+            auto& link = m_links[view][id];
+            link = std::make_unique<process>(
+                std::vector<std::string>{build_folder() +
+                                         "/tests/standin_proxy"},
+                log_path("link" + std::to_string(view) + id));
+            httplib::Client control("127.0.0.1", link->port("control"));
+            REQUIRE(control.Put("/target", std::to_string(replica->port()),
+                                "text/plain"));
+            addresses[id] = "127.0.0.1:" + std::to_string(link->port());
+        }
+        httplib::Client client("127.0.0.1", view_port(view));
+        REQUIRE(client.Put("/addresses", addresses.dump(), "application/json"));
+    }
+
+    /// Sets the mode of all links of a view; see standin/proxy.cpp.
+    /// @param[in] prefix  of the ids of the endpoints whose links are set
+    void set_links(int view, const std::string& mode,
+                   const std::string& prefix = "") const
+    {
+        for (const auto& [id, link] : m_links.at(view))
+        {
+            if (!id.starts_with(prefix))
+                continue;
+            httplib::Client control("127.0.0.1", link->port("control"));
+            REQUIRE(control.Put("/fault", json{{"mode", mode}}.dump(),
+                                "application/json"));
+        }
+    }
+
     void kill_replica(const std::string& id)
     {
         m_replicas.at(id)->kill();
@@ -215,8 +254,10 @@
 
     /// Writes a host's settings file; replaces it atomically, as the platform
     /// does.
+    /// @param[in] view  of the store; 0: without links of its own
     std::string write_settings(const std::string& name,
-                               const std::string& bounds = "graceS = 8") const
+                               const std::string& bounds = "graceS = 8",
+                               int view = 0) const
     {
         auto path = (m_folder / (name + ".toml")).string();
         const auto temporary_path = path + ".next";
@@ -224,7 +265,7 @@
             << "nodeName = \"" << name << "\"\nzone = \"z1\"\n"
             << "ip = \"127.0.0.1\"\ninternalPortRange = [0,0]\n"
             << "[listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
-            << "[platform]\naddress = \"127.0.0.1:" << m_store->port()
+            << "[platform]\naddress = \"127.0.0.1:" << view_port(view)
             << "\"\n[bounds]\n"
             << bounds << "\n";
         fs::rename(temporary_path, path);
@@ -233,9 +274,9 @@
 
     /// Starts a host and waits until it is ready.
     void start_host(const std::string& name,
-                    const std::string& bounds = "graceS = 8")
+                    const std::string& bounds = "graceS = 8", int view = 0)
     {
-        const auto path = write_settings(name, bounds);
+        const auto path = write_settings(name, bounds, view);
         m_hosts[name] = std::make_unique<process>(
             std::vector<std::string>{build_folder() + "/rhubarbgrade_node",
                                      path},
@@ -327,10 +368,18 @@
         return (m_folder / (name + ".log")).string();
     }
 
+    int view_port(int view) const
+    {
+        return view == 0 ? m_store->port()
+                         : m_store->port("view" + std::to_string(view));
+    }
+
     static inline int installation_count = 0;
     fs::path m_folder;
     std::unique_ptr<process> m_store;
     std::map<std::string, std::unique_ptr<process>> m_replicas;
+    /// By view and endpoint.
+    std::map<int, std::map<std::string, std::unique_ptr<process>>> m_links;
     std::map<std::string, std::unique_ptr<process>> m_hosts;
 };
 
--- /dev/null
+++ b/tests/integration/integration-partition.cpp
@@ -0,0 +1,201 @@
+// Hosts that lose their links to all endpoints, while callers, the store and
+// the other hosts still reach them.
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "installation.hpp"
+
+using harness::installation;
+using harness::wait_until;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using clock_type = std::chrono::steady_clock;
+
+namespace
+{
+
+/// Time after which all hosts know what one of them has seen.
+constexpr milliseconds contact_time{3000};
+
+/// Requests that have to be sent to the cut hosts while they are cut.
+constexpr int enough_requests = 120;
+
+/// Requests of one count, after which callers pause.
+constexpr int max_requests = 4 * enough_requests;
+constexpr int deadline_ms = 60000;
+
+const std::vector<std::string> cut_hosts{"c1", "c2"};
+const std::vector<std::string> other_hosts{"o1", "o2"};
+
+/// Requests that were sent after a moment, and those of them that were served.
+struct tally
+{
+    std::atomic<int> sent{0};
+    std::atomic<int> served{0};
+};
+
+/// Sends requests of all kinds to hosts in the background, without retries.
+class callers
+{
+public:
+    callers(const installation& site, const std::vector<std::string>& hosts)
+        : m_site(site)
+    {
+        for (const auto& host : hosts)
+            for (const std::string path : {"/stream/a", "/read/b", "/book/c"})
+                m_threads.emplace_back(
+                    [this, host, path]
+                    {
+                        send(host, path);
+                    });
+    }
+
+    ~callers()
+    {
+        m_stopping = true;
+        for (auto& each : m_threads)
+            each.join();
+    }
+
+    /// Counts the requests that are sent from now on.
+    void start_count()
+    {
+        m_counted = std::make_shared<tally>();
+    }
+
+    std::shared_ptr<tally> counted() const
+    {
+        return m_counted;
+    }
+
+private:
+    void send(const std::string& host, const std::string& path)
+    {
+        for (int i = 0; !m_stopping; ++i)
+        {
+            const std::shared_ptr<tally> counted = m_counted.load();
+            wait_until(
+                [&]
+                {
+                    return m_stopping || counted->sent < max_requests ||
+                           m_counted.load() != counted;
+                },
+                deadline_ms);
+            if (m_stopping)
+                break;
+            const auto part = "c" + std::to_string(i % 20);
+            const auto answer =
+                m_site.call(host, path,
+                            {{"Prefix-Hash", "a1:100," + part + ":70,e" +
+                                                 std::to_string(i) + ":50"},
+                             {"Authorization", "Token k2"}});
+            ++counted->sent;
+            if (answer && answer->status == 200)
+                ++counted->served;
+        }
+    }
+
+    const installation& m_site;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::shared_ptr<tally>> m_counted{std::make_shared<tally>()};
+    std::vector<std::thread> m_threads;
+};
+
+/// Four hosts, two of them with links of their own to the endpoints.
+class divided_site : public installation
+{
+public:
+    divided_site() : installation(json::object(), 2)
+    {
+        for (int i = 1; i <= 4; ++i)
+            start_replica("pool-" + std::to_string(i), "pool");
+        for (int i = 1; i <= 3; ++i)
+            start_replica("desk-" + std::to_string(i), "desk");
+        for (int view = 1; view <= 2; ++view)
+        {
+            link_view(view);
+            start_host(cut_hosts[view - 1], "graceS = 8", view);
+        }
+        for (const auto& name : other_hosts)
+            start_host(name);
+    }
+
+    void cut(const std::string& mode, const std::string& prefix = "") const
+    {
+        set_links(1, mode, prefix);
+        set_links(2, mode, prefix);
+    }
+};
+
+bool serves(const callers& traffic, int requests)
+{
+    return wait_until(
+        [&]
+        {
+            return traffic.counted()->served >= requests;
+        });
+}
+
+/// Waits until the hosts have to cope with a cut that has just begun.
+void wait_for_contact()
+{
+    const auto until = clock_type::now() + contact_time;
+    wait_until(
+        [&]
+        {
+            return clock_type::now() >= until;
+        });
+}
+
+} // namespace
+
+TEST_CASE("hosts that reach no endpoint serve their callers through the others",
+          "[partition]")
+{
+    const std::string mode = GENERATE("hang", "refuse", "refuse_new");
+    INFO(mode);
+    divided_site site;
+    callers cut(site, cut_hosts);
+    callers others(site, other_hosts);
+    REQUIRE(serves(cut, 30));
+    REQUIRE(serves(others, 30));
+
+    site.cut(mode);
+    wait_for_contact();
+    cut.start_count();
+    others.start_count();
+    REQUIRE(wait_until(
+        [&]
+        {
+            return cut.counted()->sent >= enough_requests &&
+                   others.counted()->sent >= enough_requests;
+        },
+        deadline_ms));
+    const auto& at_cut = *cut.counted();
+    const auto& at_others = *others.counted();
+    INFO("cut hosts " << at_cut.served << " of " << at_cut.sent << ", others "
+                      << at_others.served << " of " << at_others.sent);
+    CHECK(3.0 * at_cut.served / at_cut.sent >=
+          2.0 * at_others.served / at_others.sent);
+
+    site.cut("pass");
+    wait_for_contact();
+    cut.start_count();
+    CHECK(serves(cut, 60));
+    CHECK(cut.counted()->sent - cut.counted()->served <= 2);
+
+    // What may run once has run once.
+    std::map<std::string, int> runs;
+    for (const auto& each : site.runs("/book/c"))
+        ++runs[each["id"]];
+    for (const auto& [id, count] : runs)
+        CHECK(count == 1);
+}
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -9,6 +9,9 @@
 //     cut         close all connections, and new ones once they are accepted
 //     silent      keep connections open, forward nothing in either direction
 //     silent_up   forward nothing to the target, but forward its responses
+//     hang        existing connections forward nothing, new ones don't open
+//     refuse      close all connections, and refuse new ones
+//     refuse_new  existing connections work, new ones are refused
 //     stale       existing connections forward nothing more, new ones work
 //     lose_post   the next connection that sends a POST forwards nothing from
 //                 that POST on; all other connections work
@@ -28,6 +31,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <gflags/gflags.h>
 #include <httplib.h>
@@ -50,8 +54,20 @@
     int target_port = 0; ///< on loopback
 };
 
+/// Whether a mode closes the connections that are open.
+bool closes_connections(const std::string& mode)
+{
+    return mode == "cut" || mode == "refuse";
+}
+
+/// Whether a mode lets no connection open.
+bool opens_none(const std::string& mode)
+{
+    return mode == "hang" || mode == "refuse" || mode == "refuse_new";
+}
+
 // Applies the delay, then waits while the connection is silent. Returns false
-// if the mode is "cut".
+// if the mode closes connections.
 bool wait_to_forward(fault_state& state, std::uint64_t connection,
                      bool to_target)
 {
@@ -65,13 +81,13 @@
                        [&]
                        {
                            const bool silent =
-                               state.mode == "silent" ||
+                               state.mode == "silent" || state.mode == "hang" ||
                                (state.mode == "silent_up" && to_target) ||
                                state.silenced_connection == connection ||
                                connection < state.first_fresh_connection;
-                           return !silent || state.mode == "cut";
+                           return !silent || closes_connections(state.mode);
                        });
-    return state.mode != "cut";
+    return !closes_connections(state.mode);
 }
 
 // Silences the connection if "lose_post" is set and the bytes start a POST.
@@ -146,8 +162,8 @@
     ::close(target_socket);
 }
 
-// Shuts the connection down as soon as the mode becomes "cut". The pumps alone
-// would only notice the mode after their next read.
+// Shuts the connection down as soon as the mode closes connections. The pumps
+// alone would only notice the mode after their next read.
 void close_on_cut(fault_state& state, int client_socket,
                   std::uint64_t connection)
 {
@@ -155,26 +171,101 @@
     state.changed.wait(lock,
                        [&]
                        {
-                           return state.mode == "cut";
+                           return closes_connections(state.mode);
                        });
     static_cast<void>(connection);
     ::shutdown(client_socket, SHUT_RDWR);
 }
 
+/// The listening socket, which can stop to let connections open.
+class door
+{
+public:
+    explicit door(int listener) : m_listener(listener)
+    {
+        open();
+    }
+
+    void apply(const std::string& mode)
+    {
+        for (const int each : m_fillers)
+            ::close(each);
+        m_fillers.clear();
+        if (mode == "hang")
+            fill();
+        else if (opens_none(mode))
+            ::shutdown(m_listener, SHUT_RDWR);
+        else
+            open();
+    }
+
+private:
+    void open() const
+    {
+        constexpr int backlog = 512;
+        ::listen(m_listener, backlog);
+    }
+
+    /// Fills the queue of new connections, so that the kernel drops further
+    /// ones.
+    void fill()
+    {
+        constexpr int fillers = 8;
+        ::listen(m_listener, 0);
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address),
+                      &length);
+        for (int i = 0; i < fillers; ++i)
+        {
+            m_fillers.push_back(
+                ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            ::connect(m_fillers.back(), reinterpret_cast<sockaddr*>(&address),
+                      length);
+        }
+    }
+
+    int m_listener;
+    std::vector<int> m_fillers;
+};
+
+/// A socket that is bound to a port that the kernel chose, and keeps the port
+/// while it does not listen.
+int bind_listener()
+{
+    int port = 0;
+    for (;;)
+    {
+        const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int enabled = 1;
+        ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled,
+                     sizeof enabled);
+        auto address = loopback(port);
+        socklen_t length = sizeof address;
+        if (::bind(listener, reinterpret_cast<sockaddr*>(&address), length) !=
+            0)
+        {
+            ::close(listener);
+            port = 0;
+            continue;
+        }
+        if (port != 0)
+            return listener;
+        ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+        port = ntohs(address.sin_port);
+        ::close(listener);
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     fault_state state;
-    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = loopback(0);
-    const int enabled = 1;
-    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
-    if (::bind(listener, reinterpret_cast<sockaddr*>(&address),
-               sizeof address) != 0 ||
-        ::listen(listener, 512) != 0)
-        return 1;
+    const int listener = bind_listener();
+    door entrance(listener);
+    sockaddr_in address{};
     socklen_t length = sizeof address;
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
     httplib::Server control;
@@ -184,6 +275,7 @@
                     const auto requested = nlohmann::json::parse(request.body);
                     const std::lock_guard lock(state.mutex);
                     state.mode = requested.value("mode", "pass");
+                    entrance.apply(state.mode);
                     state.delay = std::chrono::milliseconds(
                         requested.value("delay_ms", 0));
                     if (state.mode == "stale")
@@ -207,10 +299,17 @@
               << "listening " << ntohs(address.sin_port) << std::endl;
     for (;;)
     {
+        std::unique_lock lock(state.mutex);
+        state.changed.wait(lock,
+                           [&]
+                           {
+                               return !opens_none(state.mode);
+                           });
+        lock.unlock();
         const int client_socket = ::accept(listener, nullptr, nullptr);
         if (client_socket < 0)
             continue;
-        std::unique_lock lock(state.mutex);
+        lock.lock();
         if (state.mode == "cut")
         {
             ::close(client_socket);
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -4,6 +4,8 @@
 //   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, compact,
 //               save, restore}; "save" copies all objects, "restore" goes back
 //               to that copy and begins a new era
+//   PUT /addresses  (tests) {ID: ADDRESS}, in place of the addresses that
+//               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
 //               refused: for an outdated revision
 //
@@ -13,10 +15,13 @@
 #include <chrono>
 #include <condition_variable>
 #include <deque>
+#include <iostream>
+#include <list>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <gflags/gflags.h>
 #include <httplib.h>
@@ -26,6 +31,7 @@
 #include "listen.hpp"
 
 DEFINE_int32(port, 0, "port to listen on; 0 lets the kernel choose one");
+DEFINE_int32(views, 0, "further ports, each with its own addresses");
 
 using nlohmann::json;
 using std::chrono::milliseconds;
@@ -233,7 +239,32 @@
 class api_server
 {
 public:
+    explicit api_server(store& objects) : m_store(objects)
+    {
+        add_calls();
+    }
+
+    /// Serves on a port that the kernel chooses, in a thread of its own.
+    /// @return the port
+    int serve_view()
+    {
+        const int port = m_server.bind_to_any_port("127.0.0.1");
+        std::thread(
+            [this]
+            {
+                m_server.listen_after_bind();
+            })
+            .detach();
+        return port;
+    }
+
     void serve()
+    {
+        standin::listen(m_server, FLAGS_port);
+    }
+
+private:
+    void add_calls()
     {
         m_server.new_task_queue = []
         {
@@ -292,10 +323,24 @@
                                                 request.matches[2].str()))
                                 response.status = 404;
                         });
-        standin::listen(m_server, FLAGS_port);
+        m_server.Put("/addresses",
+                     [this](const auto& request, auto&)
+                     {
+                         const std::lock_guard lock(m_mutex);
+                         m_addresses = json::parse(request.body);
+                     });
+    }
+
+    /// Replaces the address of an endpoint's entry.
+    void replace_address(json& object)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto name = object["metadata"].value("name", std::string());
+        if (object["spec"].is_object() && object["spec"].contains("address") &&
+            m_addresses.contains(name))
+            object["spec"]["address"] = m_addresses[name];
     }
 
-private:
     static constexpr auto handled = httplib::Server::HandlerResponse::Handled;
     static constexpr auto unhandled =
         httplib::Server::HandlerResponse::Unhandled;
@@ -338,17 +383,23 @@
         const auto kind = request.matches[1].str();
         if (!request.has_param("watch"))
         {
-            send_json(response, 200,
-                      m_store.list(kind, request.get_param_value("after")));
+            auto page = m_store.list(kind, request.get_param_value("after"));
+            for (auto& each : page["items"])
+                replace_address(each);
+            send_json(response, 200, page);
             return;
         }
-        const auto found = m_store.watch(
+        auto found = m_store.watch(
             kind, std::stoull(request.get_param_value("watch")),
             milliseconds(std::stoi(request.get_param_value("waitMs"))));
-        if (found)
-            send_json(response, 200, *found);
-        else
+        if (!found)
+        {
             response.status = 410;
+            return;
+        }
+        for (auto& each : (*found)["events"])
+            replace_address(each["object"]);
+        send_json(response, 200, *found);
     }
 
     void read(const httplib::Request& request, httplib::Response& response)
@@ -402,9 +453,10 @@
         response.set_content(body.dump(), "application/json");
     }
 
-    store m_store;
+    store& m_store;
     std::mutex m_mutex;
     faults m_faults;
+    json m_addresses = json::object(); ///< by the name of the entry
     httplib::Server m_server;
 };
 
@@ -413,5 +465,10 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    api_server().serve();
+    store objects;
+    std::list<api_server> views;
+    for (int i = 1; i <= FLAGS_views; ++i)
+        std::cout << "view" << i << " "
+                  << views.emplace_back(objects).serve_view() << std::endl;
+    api_server(objects).serve();
 }
