Hosts that reach no endpoint send their requests through other hosts

Callers of a host that has lost its links to all endpoints got 503, while the hosts beside it served theirs.

Cause: a host had no path to an endpoint but its own connections. It tried them one after the other, took the fault of its path for that of the endpoints (ejections, queues, crashes of requests), and said that it was ready.

Now a host finds out that it is cut from a service (three endpoints that don't open, none that does in between; it probes when one fails, or when nothing comes from a service while requests wait there), drops what it held against the endpoints, and opens its connections through a host that reaches them. That one passes bytes on to one listed endpoint, for hosts of the fleet only, at most one in 16 of its descriptors, never through a second host. All decisions stay at the first: budgets, retries, Expect-Instance, deadlines, cancel. If no host passes connections on, requests are refused at once and the host is not ready. A refused connection counts as a crash only if another host is refused too. An unframed answer through a relay is never whole, as the relay's end looks like the endpoint's.

--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -10,6 +10,7 @@
 
 #include <rhubarbgrade/detail/fleet/deployment.hpp>      // deployment
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
+#include <rhubarbgrade/detail/routing/relay.hpp>         // relay_host
 #include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
 
 namespace rhubarbgrade
@@ -41,6 +42,10 @@
     /// Those that must not be run, with the number of the trial that this host
     /// has to make with each; 0: none.
     std::map<std::uint64_t, int> quarantined;
+    /// Hosts that pass connections on to endpoints, and the addresses of all
+    /// hosts, which may ask for that.
+    std::vector<relay_host> relays;
+    std::set<std::string> host_ips;
 };
 
 using fleet_view_ptr_t = std::shared_ptr<const fleet_view>;
--- a/include/rhubarbgrade/detail/fleet/node_settings.hpp
+++ b/include/rhubarbgrade/detail/fleet/node_settings.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <cstddef> // size_t
-#include <cstdint> // uint16_t
-#include <string>  // string
+#include <cstddef>  // size_t
+#include <cstdint>  // uint16_t
+#include <optional> // optional
+#include <string>   // string
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds
 
@@ -43,7 +44,10 @@
     socket_address callers;   ///< listens for callers
     socket_address readiness; ///< listens for readiness probes of the balancer
     socket_address peers;     ///< listens for heartbeats and queries of peers
-    socket_address store;     ///< address of the shared store
+    /// Listens for peers that reach no endpoint themselves; empty if there is
+    /// no port for it.
+    std::optional<socket_address> relay;
+    socket_address store;           ///< address of the shared store
     std::size_t memory_mb = 256;    ///< memory limit
     std::size_t descriptors = 1024; ///< limit of open file descriptors
     double processor_cores = 1;     ///< cores that the host may use
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -489,14 +489,15 @@
         m_may_have_run = true;
     // An attempt cancelled by the caller or by the deadline is no evidence of
     // the endpoint's health.
-    if (!m_disconnected && !m_deadline_passed)
+    if (!m_disconnected && !m_deadline_passed && !report.path_failed)
     {
         m_context.directory.record_result(
             *endpoint, report.complete && report.status < first_server_error,
             now);
         record_crash_evidence(endpoint, report);
     }
-    record_sample(*endpoint, report);
+    if (!report.path_failed)
+        record_sample(*endpoint, report);
     if (report.complete)
         for (const auto& part : m_head.parts)
             endpoint->recent_parts.record(part.id, now);
@@ -508,6 +509,9 @@
     bool quarantined = false;
     for (;;)
     {
+        m_no_path = !m_context.directory.has_path(m_service);
+        if (m_no_path)
+            break;
         const auto endpoint = co_await wait_for_endpoint();
         if (m_disconnected)
             co_return false;
@@ -537,6 +541,12 @@
                             {}};
     if (!m_may_have_run && quarantined)
         response = quarantine_response();
+    else if (!m_may_have_run && m_no_path)
+    {
+        ++m_context.counters.no_path;
+        response = {unavailable, "no endpoint can be reached",
+                    random_retry_after()};
+    }
     else if (!m_may_have_run && m_capacity_wait)
         response = capacity_response(*m_capacity_wait);
     else if (!m_may_have_run)
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -100,6 +100,8 @@
     std::optional<milliseconds> m_capacity_wait;
     token_count_t m_reserved_tokens = 0; ///< 0 if nothing is reserved
     bool m_may_have_run = false;
+    bool m_no_path =
+        false; ///< neither this host nor a relay reaches the service
     bool m_is_trial = false; ///< runs in spite of a quarantine
     bool m_disconnected = false;
     bool m_deadline_passed = false;
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -51,6 +51,10 @@
 /// given up.
 constexpr int max_stale_responses = 4;
 
+/// Interval at which an attempt without an answer finds out whether this host
+/// has lost its path to the endpoint.
+constexpr milliseconds path_check_interval{100};
+
 constexpr unsigned misdirected = 421;
 
 bool is_success(unsigned status)
@@ -211,6 +215,8 @@
         if (fault && !buffer_full)
             co_return;
         const auto received = chunk.size() - body.size;
+        if (received != 0 && !m_relayed)
+            m_directory.record_bytes(*m_endpoint, time_point_t::clock::now());
         if (received != 0 &&
             !co_await forward_body(params, {chunk.data(), received}, report))
         {
@@ -241,7 +247,8 @@
 asio::awaitable<bool>
 endpoint_attempt::ended_whole(const attempt_params& params, answer_end end)
 {
-    if (needs_process(end))
+    // The end of a relay looks the same, so it is not asked who has ended.
+    if (needs_process(end) && !m_link->relayed)
         end.process = co_await find_process();
     const bool whole = is_whole(end);
     if (end.close_delimited || !whole)
@@ -267,6 +274,34 @@
 asio::awaitable<attempt_report> endpoint_attempt::run(attempt_params params)
 {
     const auto self = shared_from_this();
+    auto report = co_await exchange(params);
+    if (!report.complete && !m_relayed)
+        report.path_failed =
+            m_directory.is_cut(m_endpoint->entry.service) ||
+            (report.outcome == attempt_outcome::not_sent &&
+             m_directory.may_be_cut(m_endpoint->entry.service));
+    co_return report;
+}
+
+void endpoint_attempt::watch_path()
+{
+    m_path_timer.emplace(m_link->socket.get_executor(), path_check_interval);
+    m_path_timer->async_wait(
+        [weak = weak_from_this()](auto fault)
+        {
+            const auto self = weak.lock();
+            if (fault || !self || !self->m_link)
+                return;
+            if (!self->m_directory.is_cut(self->m_endpoint->entry.service))
+                return self->watch_path();
+            boost::system::error_code ignored; // the descriptor is released
+            self->m_link->socket.close(ignored);
+        });
+}
+
+asio::awaitable<attempt_report>
+endpoint_attempt::exchange(const attempt_params& params)
+{
     attempt_report report;
     const auto started_at = time_point_t::clock::now();
     const bool resumed = m_writer.begun();
@@ -274,11 +309,18 @@
     m_link = co_await m_directory.connect(m_endpoint, !params.repeatable);
     if (!m_link || m_cancelled)
         co_return report;
+    m_relayed = m_link->relayed;
+    // What may run again does not wait for an answer that can't come.
+    if (params.repeatable && !m_relayed)
+        watch_path();
     std::unique_ptr<parser_t> parser;
     platform::response_head head;
     endpoint_directory::record_sent(*m_endpoint, started_at);
     const bool answered = co_await send(params, report) &&
                           co_await read_head(params, parser, head);
+    m_path_timer.reset();
+    if (answered && !m_relayed)
+        m_directory.record_bytes(*m_endpoint, time_point_t::clock::now());
     endpoint_directory::record_first_byte(*m_endpoint, started_at,
                                           time_point_t::clock::now());
     if (!answered)
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -37,6 +37,9 @@
     bool streamed = false; ///< the whole body has been written to the caller
     bool forward_failed = false;    ///< no more can be written to the caller
     bool connection_broken = false; ///< before the response was complete
+    /// This host is, or may be, cut from the endpoint: no evidence of its
+    /// health.
+    bool path_failed = false;
     double latency_s = -1; ///< to the response header; below 0 if none came
     /// From the response header to the end of the attempt; 0 if none came.
     time_point_t::duration answer_time{};
@@ -69,6 +72,12 @@
     void cancel();
 
 private:
+    boost::asio::awaitable<attempt_report>
+    exchange(const attempt_params& params);
+    /// Closes the connection when this host has lost its path to the endpoint,
+    /// until the answer begins.
+    void watch_path();
+
     using parser_t =
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
@@ -97,6 +106,8 @@
     response_writer& m_writer;
     endpoint_link_ptr_t m_link;
     std::optional<boost::asio::steady_timer> m_probe_timer;
+    std::optional<boost::asio::steady_timer> m_path_timer;
+    bool m_relayed = false;
     bool m_cancelled = false;
 };
 
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -1,10 +1,10 @@
 #include "endpoint_directory.hpp"
 
-#include <algorithm> // count_if, find, max, min
+#include <algorithm> // any_of, count_if, find, max, min
 #include <cmath>     // exp
 #include <iterator>  // distance
 #include <memory>    // make_shared, weak_ptr
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/steady_timer.hpp>  // steady_timer
@@ -14,7 +14,11 @@
 #include <rhubarbgrade/detail/base/hash.hpp>     // hash64
 #include <rhubarbgrade/detail/placing/place.hpp> // place
 
+#include <spdlog/spdlog.h> // info, warn
+
 #include "../store/socket_options.hpp" // is_alive, set_tcp_options, to_endpoint
+#include "../store/spawn.hpp"          // spawn
+#include "relay_client.hpp"            // open_through_relay
 
 namespace rhubarbgrade
 {
@@ -46,6 +50,21 @@
 constexpr int ejection_threshold = 3;
 constexpr milliseconds ejection_time{1500};
 
+/// Pause between the probes of a service's endpoints while it is in doubt
+/// whether this host reaches them, and once it does not.
+constexpr milliseconds doubt_probe_interval{50};
+constexpr milliseconds cut_probe_interval{500};
+
+/// Time without a byte from a service, while requests wait there, after which
+/// the host finds out whether it still reaches it, and how often it does that.
+constexpr milliseconds max_silence{400};
+constexpr milliseconds silence_check_interval{1000};
+
+/// Relays that are asked for one connection, and the time for which one that
+/// did not answer is avoided.
+constexpr std::size_t max_relays = 2;
+constexpr milliseconds relay_pause{1000};
+
 /// Weight of the newest result in the moving average of the failure rate.
 constexpr double failure_weight = 0.12;
 
@@ -188,11 +207,14 @@
 
 endpoint_directory::endpoint_directory(
     asio::any_io_executor executor, std::string zone, random_source_t random,
-    std::function<void(const limit_observation&)> on_limit)
+    std::function<void(const limit_observation&)> on_limit,
+    std::function<void()> on_reach)
     : m_executor(std::move(executor)),
       m_zone(std::move(zone)),
       m_random(std::move(random)),
-      m_on_limit(std::move(on_limit))
+      m_on_limit(std::move(on_limit)),
+      m_on_reach(std::move(on_reach)),
+      m_view(std::make_shared<fleet_view>())
 {
 }
 
@@ -377,6 +399,254 @@
 
 asio::awaitable<open_result>
 endpoint_directory::open_connection(endpoint_ptr_t endpoint)
+{
+    open_result opened;
+    if (!is_cut(endpoint->entry.service))
+    {
+        opened = co_await open_direct(endpoint);
+        // A refusal alone may come from a cut: another host knows.
+        if (opened.link ||
+            (!opened.refused && !may_be_cut(endpoint->entry.service)))
+            co_return opened;
+    }
+    if (usable_relays(time_point_t::clock::now()).empty())
+    {
+        opened.refused = opened.refused && !may_be_cut(endpoint->entry.service);
+        co_return opened;
+    }
+    co_return co_await open_relayed(endpoint);
+}
+
+std::vector<relay_host>
+endpoint_directory::usable_relays(time_point_t now) const
+{
+    auto relays = m_view->relays;
+    std::erase_if(relays,
+                  [&](const auto& each)
+                  {
+                      const auto failed = m_relay_failures.find(each.host);
+                      return failed != m_relay_failures.end() &&
+                             now - failed->second < relay_pause;
+                  });
+    return relays;
+}
+
+asio::awaitable<open_result>
+endpoint_directory::open_relayed(endpoint_ptr_t endpoint)
+{
+    const auto process = process_hash(endpoint->entry);
+    const auto relays = usable_relays(time_point_t::clock::now());
+    std::vector<std::size_t> tried;
+    while (tried.size() < max_relays)
+    {
+        const auto index = choose_relay(relays, tried, m_random);
+        if (!index)
+            break;
+        tried.push_back(*index);
+        const auto& relay = relays[*index];
+        auto link = std::make_shared<endpoint_link>(m_executor);
+        const auto outcome =
+            co_await open_through_relay(link, relay.address, process);
+        if (outcome == relay_outcome::connected)
+        {
+            link->relayed = true;
+            co_return open_result{std::move(link), false};
+        }
+        if (outcome == relay_outcome::refused)
+            co_return open_result{nullptr, true};
+        if (outcome == relay_outcome::unreachable)
+            break;
+        if (outcome == relay_outcome::failed)
+            m_relay_failures[relay.host] = time_point_t::clock::now();
+    }
+    co_return open_result{};
+}
+
+void endpoint_directory::record_open_result(const pool_endpoint& endpoint,
+                                            bool opened)
+{
+    const auto now = time_point_t::clock::now();
+    const auto& service = endpoint.entry.service;
+    auto& path = m_paths[service];
+    const bool was_cut = path.reach.cut;
+    record_open(path.reach, endpoint.identity, opened, now);
+    if (opened)
+    {
+        if (was_cut)
+            on_path_restored(service);
+        return;
+    }
+    const auto pool = m_by_service.find(service);
+    if (pool == m_by_service.end())
+        return;
+    if (update_cut(path.reach, pool->second.size(), any_other_cut(service),
+                   now))
+        on_cut(service);
+    start_probe(service);
+}
+
+void endpoint_directory::on_cut(const std::string& service)
+{
+    spdlog::warn("event=service_cut service={} failures={} relays={}", service,
+                 m_paths[service].reach.failures.size(), m_view->relays.size());
+    for (const auto& each : m_by_service[service])
+    {
+        // What is open hangs or is reset; what the endpoints seemed to do wrong
+        // was the fault of the path.
+        each->idle.clear();
+        each->unanswered.clear();
+        each->last_wait = {};
+        each->failure_rate = 0;
+        each->consecutive_failures = 0;
+        each->ejected_until = {};
+    }
+    m_on_reach();
+    for (const auto& [other, pool] : m_by_service)
+        if (!is_cut(other))
+            start_probe(other);
+}
+
+void endpoint_directory::on_path_restored(const std::string& service)
+{
+    spdlog::info("event=service_reached service={}", service);
+    for (const auto& each : m_by_service[service])
+        std::erase_if(each->idle,
+                      [](const auto& link)
+                      {
+                          return link->relayed;
+                      });
+    m_on_reach();
+}
+
+void endpoint_directory::start_probe(const std::string& service)
+{
+    if (!std::exchange(m_paths[service].probing, true))
+        spawn(m_executor, probe_path(service), "probe of a service");
+}
+
+endpoint_ptr_t
+endpoint_directory::choose_probe_target(const std::string& service) const
+{
+    const auto pool = m_by_service.find(service);
+    if (pool == m_by_service.end() || pool->second.empty())
+        return nullptr;
+    const auto& failures = m_paths.find(service)->second.reach.failures;
+    std::vector<endpoint_ptr_t> unknown;
+    for (const auto& each : pool->second)
+        if (!failures.contains(each->identity))
+            unknown.push_back(each);
+    const auto& targets = unknown.empty() ? pool->second : unknown;
+    return targets[m_random() % targets.size()];
+}
+
+asio::awaitable<void> endpoint_directory::probe_path(std::string service)
+{
+    asio::steady_timer timer(m_executor);
+    for (;;)
+    {
+        const auto endpoint = choose_probe_target(service);
+        if (!endpoint)
+            break;
+        auto opened = co_await open_direct(endpoint);
+        const auto now = time_point_t::clock::now();
+        if (opened.link)
+        {
+            return_connection(*endpoint, std::move(opened.link), now);
+            break;
+        }
+        const auto& reach = m_paths[service].reach;
+        if (!in_doubt(reach, now))
+            break;
+        timer.expires_after(reach.cut ? cut_probe_interval
+                                      : doubt_probe_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    m_paths[service].probing = false;
+}
+
+endpoint_ptr_t endpoint_directory::find_process(std::uint64_t process) const
+{
+    for (const auto& [id, each] : m_by_id)
+        if (process_hash(each->entry) == process)
+            return each;
+    return nullptr;
+}
+
+bool endpoint_directory::is_cut(std::string_view service) const
+{
+    const auto found = m_paths.find(service);
+    return found != m_paths.end() && found->second.reach.cut;
+}
+
+bool endpoint_directory::any_other_cut(std::string_view service) const
+{
+    return std::any_of(m_paths.begin(), m_paths.end(),
+                       [&](const auto& each)
+                       {
+                           return each.first != service &&
+                                  each.second.reach.cut;
+                       });
+}
+
+bool endpoint_directory::may_be_cut(std::string_view service) const
+{
+    const auto found = m_paths.find(service);
+    return found != m_paths.end() &&
+           rhubarbgrade::may_be_cut(found->second.reach,
+                                    time_point_t::clock::now());
+}
+
+bool endpoint_directory::has_path(std::string_view service) const
+{
+    return !is_cut(service) ||
+           !usable_relays(time_point_t::clock::now()).empty();
+}
+
+bool endpoint_directory::reaches_any() const
+{
+    return m_by_service.empty() ||
+           std::any_of(m_by_service.begin(), m_by_service.end(),
+                       [this](const auto& each)
+                       {
+                           return !is_cut(each.first);
+                       });
+}
+
+bool endpoint_directory::isolated() const
+{
+    return !reaches_any() && m_view->relays.empty();
+}
+
+void endpoint_directory::record_bytes(const pool_endpoint& endpoint,
+                                      time_point_t now)
+{
+    m_paths[endpoint.entry.service].last_byte = now;
+}
+
+void endpoint_directory::check_silence(time_point_t now)
+{
+    for (const auto& [service, pool] : m_by_service)
+    {
+        auto& path = m_paths[service];
+        if (path.probing || now - path.last_byte < max_silence ||
+            now - path.checked_at < silence_check_interval)
+            continue;
+        const bool waiting = std::any_of(
+            pool.begin(), pool.end(),
+            [now](const auto& each)
+            {
+                return !each->unanswered.empty() &&
+                       now - *each->unanswered.begin() >= max_silence;
+            });
+        if (!waiting)
+            continue;
+        path.checked_at = now;
+        start_probe(service);
+    }
+}
+
+asio::awaitable<open_result>
+endpoint_directory::open_direct(endpoint_ptr_t endpoint)
 {
     const auto address = to_endpoint(endpoint->entry.address);
     if (!address)
@@ -393,6 +663,7 @@
     const auto [fault] = co_await link->socket.async_connect(
         *address, asio::as_tuple(asio::use_awaitable));
     const bool in_time = connect_timer.cancel() != 0;
+    record_open_result(*endpoint, in_time && !fault);
     if (!in_time || fault)
         co_return open_result{nullptr,
                               fault == asio::error::connection_refused};
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -14,6 +14,8 @@
 
 #include <rhubarbgrade/detail/fleet/fleet_view.hpp> // fleet_view_ptr_t
 #include <rhubarbgrade/detail/routing/choose.hpp>   // random_source_t
+#include <rhubarbgrade/detail/routing/reach.hpp>    // service_reach
+#include <rhubarbgrade/detail/routing/relay.hpp>    // relay_host
 
 #include "pool_endpoint.hpp" // endpoint_link, pool_endpoint
 
@@ -56,9 +58,12 @@
 public:
     /// @param[in] zone      this host's availability zone
     /// @param[in] on_limit  called with answers that bear on a request limit
+    /// @param[in] on_reach  called when this host loses its path to a service,
+    ///                      or has it again
     endpoint_directory(boost::asio::any_io_executor executor, std::string zone,
                        random_source_t random,
-                       std::function<void(const limit_observation&)> on_limit);
+                       std::function<void(const limit_observation&)> on_limit,
+                       std::function<void()> on_reach);
 
     /// @brief Applies a new view of the fleet. An endpoint that has restarted
     ///        or has another address loses its history and connections.
@@ -89,10 +94,41 @@
     boost::asio::awaitable<endpoint_link_ptr_t> connect(endpoint_ptr_t endpoint,
                                                         bool fresh_only);
 
-    /// @brief Opens a new connection.
+    /// @brief Opens a new connection, through another host if this one is cut
+    ///        from the endpoint.
     boost::asio::awaitable<open_result>
     open_connection(endpoint_ptr_t endpoint);
 
+    /// @brief Opens a new connection of this host's own.
+    boost::asio::awaitable<open_result> open_direct(endpoint_ptr_t endpoint);
+
+    /// @return the listed endpoint with this hash of its process, or null
+    endpoint_ptr_t find_process(std::uint64_t process) const;
+
+    /// @brief Whether this host's own connections reach no endpoint of the
+    ///        service.
+    bool is_cut(std::string_view service) const;
+
+    /// @brief Whether requests can reach the service: directly, or through
+    ///        another host.
+    bool has_path(std::string_view service) const;
+
+    /// @brief Whether no request can reach any service.
+    bool isolated() const;
+
+    /// @brief Whether the host's own connections reach any service.
+    bool reaches_any() const;
+
+    /// @brief Whether a failure to connect to the service may be this host's.
+    bool may_be_cut(std::string_view service) const;
+
+    /// @brief Records that bytes have come over a direct connection.
+    void record_bytes(const pool_endpoint& endpoint, time_point_t now);
+
+    /// @brief Finds out whether services still can be reached from which
+    ///        nothing comes; to be called a few times a second.
+    void check_silence(time_point_t now);
+
     /// @brief Returns a connection for reuse after a complete response.
     ///
     /// It is closed if the endpoint is no longer listed or has enough idle
@@ -130,6 +166,27 @@
     void close_idle_connections(time_point_t now);
 
 private:
+    /// This host's path to one service.
+    struct service_path
+    {
+        service_reach reach;
+        time_point_t last_byte{};
+        time_point_t checked_at{}; ///< last probe because of silence
+        bool probing = false;
+    };
+
+    boost::asio::awaitable<open_result> open_relayed(endpoint_ptr_t endpoint);
+    void record_open_result(const pool_endpoint& endpoint, bool opened);
+    void on_cut(const std::string& service);
+    void on_path_restored(const std::string& service);
+    void start_probe(const std::string& service);
+    /// Opens connections to the service's endpoints until one opens or there
+    /// is no doubt any more.
+    boost::asio::awaitable<void> probe_path(std::string service);
+    endpoint_ptr_t choose_probe_target(const std::string& service) const;
+    bool any_other_cut(std::string_view service) const;
+    /// Relays that have not failed a moment ago.
+    std::vector<relay_host> usable_relays(time_point_t now) const;
     bool has_engine(std::string_view service) const;
     /// @return null if the service has no version on trial
     const trial_split* find_split(std::string_view service) const;
@@ -142,6 +199,9 @@
     std::string m_zone;
     random_source_t m_random;
     std::function<void(const limit_observation&)> m_on_limit;
+    std::function<void()> m_on_reach;
+    std::map<std::string, service_path, std::less<>> m_paths;
+    std::map<std::string, time_point_t> m_relay_failures; ///< by host
     fleet_view_ptr_t m_view;
     std::unordered_map<std::string, endpoint_ptr_t> m_by_id;
     std::map<std::string, std::vector<endpoint_ptr_t>, std::less<>>
--- a/src/gateway/endpoint_link.hpp
+++ b/src/gateway/endpoint_link.hpp
@@ -24,6 +24,7 @@
     time_point_t idle_since{};
     std::optional<milliseconds> idle_limit; ///< announced by the endpoint
     bool used = false;                      ///< has carried a request before
+    bool relayed = false;                   ///< passed on by another host
 };
 
 /// Shared, since time-out handlers hold weak references to the connection.
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -49,6 +49,7 @@
     std::uint64_t unconfirmed = 0; ///< the witness has not confirmed enough
     std::uint64_t no_draws = 0;    ///< the store takes no draws at present
     std::uint64_t no_endpoint = 0; ///< no endpoint has a free slot
+    std::uint64_t no_path = 0;     ///< this host reaches none, nor a relay
     std::uint64_t quarantined = 0; ///< has crashed endpoints
     std::uint64_t no_capacity =
         0; ///< request limits used up, engines saturated
@@ -63,12 +64,13 @@
                     std::function<void()> on_tokens_needed,
                     std::function<void(const version_sample&)> sample_handler,
                     crash_listener crashes,
-                    std::function<void(const limit_observation&)> on_limit)
+                    std::function<void(const limit_observation&)> on_limit,
+                    std::function<void()> on_reach)
         : executor(with_executor),
           bounds(with_settings.bounds),
           random(with_random),
           directory(with_executor, with_settings.zone, with_random,
-                    std::move(on_limit)),
+                    std::move(on_limit), std::move(on_reach)),
           detector(with_executor, directory, std::move(crashes)),
           wallets(with_executor, std::move(on_tokens_needed)),
           wait_queue(with_executor),
@@ -91,6 +93,7 @@
     traffic_counters counters;
     std::set<caller_session*> sessions; ///< running; they remove themselves
     std::size_t in_flight = 0;          ///< requests of callers
+    std::size_t relayed = 0;            ///< connections passed on for peers
     bool stopping = false; ///< connections are closed after their response
 };
 
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -16,6 +16,7 @@
 #include "../store/socket_options.hpp" // set_tcp_options, to_endpoint
 #include "../store/spawn.hpp"          // spawn
 #include "caller_session.hpp"          // caller_session
+#include "relay_session.hpp"           // relay_session
 
 namespace rhubarbgrade
 {
@@ -31,6 +32,10 @@
 /// Listen backlog: all callers of a zone may connect to one host at once.
 constexpr int backlog = 1024;
 
+/// One in this many descriptors may serve a connection that is passed on for a
+/// peer; each takes two.
+constexpr std::size_t relay_share = 16;
+
 /// Interval of the reports of wallets and samples to control.
 constexpr milliseconds report_interval{250};
 
@@ -84,9 +89,16 @@
            {
                report_cleared(ids);
            }},
-          m_control.limit_observed),
+          m_control.limit_observed,
+          [this]
+          {
+              announce_relay();
+              for (const auto& [service, waiting] : m_context.retries)
+                  m_context.wait_queue.wake(service);
+          }),
       m_caller_acceptor(loop),
-      m_readiness_acceptor(loop)
+      m_readiness_acceptor(loop),
+      m_relay_acceptor(loop)
 {
 }
 
@@ -110,6 +122,11 @@
     listen(m_readiness_acceptor, m_settings.readiness);
     spawn(m_loop, accept_callers(), "accept callers");
     spawn(m_loop, accept_readiness_checks(), "accept readiness checks");
+    if (m_settings.relay)
+    {
+        listen(m_relay_acceptor, *m_settings.relay);
+        spawn(m_loop, accept_relayed(), "accept connections of peers");
+    }
     spawn(m_loop, report_periodically(), "report to control");
 }
 
@@ -154,7 +171,44 @@
 
 bool traffic_loop::ready() const
 {
-    return m_context.view->configuration && !m_context.stopping;
+    return m_context.view->configuration && !m_context.stopping &&
+           !m_context.directory.isolated();
+}
+
+bool traffic_loop::takes_relayed() const
+{
+    return m_relay_acceptor.is_open() && !m_context.stopping &&
+           m_context.relayed < m_settings.descriptors / relay_share &&
+           m_context.directory.reaches_any();
+}
+
+void traffic_loop::announce_relay()
+{
+    const std::uint16_t port =
+        takes_relayed() ? m_relay_acceptor.local_endpoint().port() : 0;
+    if (std::exchange(m_announced_relay, port) != port)
+        m_control.relay_changed(port);
+}
+
+asio::awaitable<void> traffic_loop::accept_relayed()
+{
+    while (m_relay_acceptor.is_open())
+    {
+        auto [fault, socket] =
+            co_await m_relay_acceptor.async_accept(as_values);
+        if (fault)
+            continue;
+        boost::system::error_code disconnected;
+        const auto from = socket.remote_endpoint(disconnected);
+        const auto& hosts = m_context.view->host_ips;
+        if (disconnected || !takes_relayed() ||
+            !hosts.contains(from.address().to_string()))
+            continue;
+        set_tcp_options(socket);
+        const auto session =
+            std::make_shared<relay_session>(std::move(socket), m_context);
+        spawn(m_loop, session->run(), "connection of a peer");
+    }
 }
 
 asio::awaitable<void> traffic_loop::accept_callers()
@@ -214,12 +268,13 @@
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
-                 "no_capacity={} in_flight={}",
+                 "no_capacity={} no_path={} relayed={} in_flight={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
-                 counters.no_capacity, m_context.in_flight);
+                 counters.no_capacity, counters.no_path, m_context.relayed,
+                 m_context.in_flight);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
@@ -236,6 +291,8 @@
             log_counters();
         }
         m_context.directory.close_idle_connections(time_point_t::clock::now());
+        m_context.directory.check_silence(time_point_t::clock::now());
+        announce_relay();
         send_wallet_states();
         if (!m_samples.empty())
             m_control.samples(std::exchange(m_samples, {}));
@@ -271,6 +328,7 @@
 {
     if (std::exchange(m_context.stopping, true))
         return;
+    announce_relay();
     spawn(m_loop, drain(std::move(done)), "drain requests");
 }
 
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -31,6 +31,9 @@
     crash_listener crashes;
     /// Answers that bear on the request limit of an endpoint.
     std::function<void(const limit_observation&)> limit_observed;
+    /// The port at which connections are passed on to endpoints has changed; 0:
+    /// this host passes none on.
+    std::function<void(std::uint16_t)> relay_changed;
 };
 
 /// @brief The traffic thread: accepts callers' connections, and serves the
@@ -80,6 +83,11 @@
 
     boost::asio::awaitable<void> accept_callers();
     boost::asio::awaitable<void> accept_readiness_checks();
+    boost::asio::awaitable<void> accept_relayed();
+    /// Tells control whether this host passes connections on, if that has
+    /// changed.
+    void announce_relay();
+    bool takes_relayed() const;
     boost::asio::awaitable<void> answer_readiness_checks(tcp_t::socket socket);
     boost::asio::awaitable<void> report_periodically();
     boost::asio::awaitable<void>
@@ -98,6 +106,8 @@
     traffic_context m_context;
     tcp_t::acceptor m_caller_acceptor;
     tcp_t::acceptor m_readiness_acceptor;
+    tcp_t::acceptor m_relay_acceptor;
+    std::uint16_t m_announced_relay = 0;
     bool m_send_pending = false; ///< a report of the wallets is posted
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -101,6 +101,14 @@
                            control.record_limit(observation);
                        });
         };
+        callbacks.relay_changed = [this](std::uint16_t port)
+        {
+            asio::post(control_io,
+                       [this, port]
+                       {
+                           control.set_relay_port(port);
+                       });
+        };
         callbacks.crashes.cleared = [this](const std::set<std::uint64_t>& ids)
         {
             asio::post(control_io,
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -326,18 +326,28 @@
     view->crash_suspects = m_published_suspects;
     view->quarantined = m_published_quarantine;
     view->request_shares = m_published_shares;
+    view->relays = m_published_relays;
+    view->host_ips = m_host_ips;
     m_traffic.publish_view(std::move(view));
 }
 
 void node_control::apply_hosts(const escrow_book& book)
 {
     std::map<std::string, socket_address> peers;
+    std::set<std::string> ips;
+    m_peer_hosts.clear();
     for (const auto& [host, holding] : book.hosts)
-        peers[host] = to_address(holding.address);
+    {
+        const auto address = to_address(holding.address);
+        peers[host] = address;
+        ips.insert(address.ip);
+        m_peer_hosts[host] = {host, address, holding.zone == m_settings.zone};
+    }
     m_peers.set_peers(peers);
-    if (m_host_count == book.hosts.size())
+    if (m_host_count == book.hosts.size() && ips == m_host_ips)
         return;
     m_host_count = book.hosts.size();
+    m_host_ips = std::move(ips);
     publish();
 }
 
@@ -368,6 +378,7 @@
     heartbeat.evidence = m_moves.evidence();
     heartbeat.crashes = m_crashes.shared(now);
     heartbeat.limits = m_limits.shared(now);
+    heartbeat.relay_port = m_relay_port;
     return heartbeat;
 }
 
@@ -391,6 +402,8 @@
     for (const auto& each : heartbeat.evidence)
         m_moves.set_peer_evidence(heartbeat.host, each);
     m_presence.record(heartbeat.host, now);
+    m_presence.record_relay(heartbeat.host, heartbeat.relay_port);
+    publish_relays(now);
     m_crashes.merge(heartbeat.crashes, now);
     publish_crashes(now);
     m_limits.merge(heartbeat.limits, now);
@@ -458,6 +471,29 @@
     return true;
 }
 
+void node_control::set_relay_port(std::uint16_t port)
+{
+    m_relay_port = port;
+    m_peers.hasten_heartbeat();
+}
+
+void node_control::publish_relays(time_point_t now)
+{
+    std::vector<relay_host> relays;
+    for (const auto& [host, port] : m_presence.relays(now))
+    {
+        const auto found = m_peer_hosts.find(host);
+        if (found == m_peer_hosts.end() || host == m_settings.host)
+            continue;
+        relays.push_back(found->second);
+        relays.back().address.port = port;
+    }
+    if (relays == m_published_relays)
+        return;
+    m_published_relays = std::move(relays);
+    publish();
+}
+
 void node_control::forget_gone_limits()
 {
     std::set<std::uint64_t> processes;
@@ -536,6 +572,7 @@
         publish_crashes(now);
         forget_gone_limits();
         publish_limits(now);
+        publish_relays(now);
         check_configuration(now);
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -74,6 +74,10 @@
     /// @brief Records an answer that bears on an endpoint's request limit.
     void record_limit(const limit_observation& observation);
 
+    /// @brief Tells peers whether this host passes connections on to endpoints.
+    /// @param[in] port  at which it does; 0: it does not
+    void set_relay_port(std::uint16_t port);
+
     /// @brief Requests with these suspects were answered whole.
     void clear_suspects(const std::set<std::uint64_t>& ids);
 
@@ -106,6 +110,8 @@
     /// @return whether they have
     bool publish_limits(time_point_t now);
     void forget_gone_limits();
+    /// Publishes if the hosts that pass connections on have changed.
+    void publish_relays(time_point_t now);
     boost::asio::awaitable<void> tick();
 
     boost::asio::io_context& m_loop;
@@ -127,6 +133,10 @@
     std::set<std::uint64_t> m_published_suspects;
     std::map<std::uint64_t, int> m_published_quarantine;
     std::map<std::uint64_t, request_share> m_published_shares;
+    std::vector<relay_host> m_published_relays;
+    std::set<std::string> m_host_ips;
+    std::map<std::string, relay_host> m_peer_hosts; ///< without a relay port
+    std::uint16_t m_relay_port = 0;                 ///< of this host
     std::size_t m_host_count = assumed_host_count;
     time_point_t m_store_answered_at{}; ///< last response of the store
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
--- a/src/node/peer_presence.cpp
+++ b/src/node/peer_presence.cpp
@@ -32,4 +32,20 @@
     return hosts;
 }
 
+void peer_presence::record_relay(const std::string& peer, std::uint16_t port)
+{
+    m_relays[peer] = port;
+}
+
+std::map<std::string, std::uint16_t>
+peer_presence::relays(time_point_t now) const
+{
+    std::map<std::string, std::uint16_t> ports;
+    for (const auto& host : live_hosts(now))
+        if (const auto found = m_relays.find(host);
+            found != m_relays.end() && found->second != 0)
+            ports.insert(*found);
+    return ports;
+}
+
 } // namespace rhubarbgrade
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -71,6 +71,7 @@
   canWrite @7 :Bool;         # the sender can write the escrow account
   quarantined @8 :List(Quarantine);
   limits @9 :List(RequestLimit);
+  relayPort @10 :UInt16;     # passes connections on to endpoints; 0: does not
 }
 
 # One run of a host's process; each start has a new incarnation.
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -1080,6 +1080,8 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline  ::uint16_t getRelayPort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1162,6 +1164,9 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline  ::uint16_t getRelayPort();
+  inline void setRelayPort( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3373,6 +3378,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t Beat::Reader::getRelayPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Beat::Builder::getRelayPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setRelayPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Process::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -245,6 +245,7 @@
         heartbeat.evidence.push_back(read_evidence(each));
     heartbeat.crashes = read_crashes(root);
     heartbeat.limits = read_limits(root);
+    heartbeat.relay_port = root.getRelayPort();
     return heartbeat;
 }
 
@@ -370,6 +371,7 @@
     root.setConfiguration(heartbeat.configuration);
     root.setFresh(heartbeat.fresh);
     root.setCanWrite(heartbeat.can_write);
+    root.setRelayPort(heartbeat.relay_port);
     root.setStateDigest(heartbeat.state_digest);
     auto evidence =
         root.initEvidence(static_cast<unsigned>(heartbeat.evidence.size()));
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>  // uint64_t
+#include <cstdint>  // uint16_t, uint64_t
 #include <optional> // optional
 #include <string>   // string
 #include <variant>  // variant
@@ -71,6 +71,9 @@
     std::vector<shared_evidence> evidence;
     shared_crashes crashes;
     std::vector<shared_limit> limits;
+    /// Port at which the host passes connections on to endpoints; 0: it does
+    /// not, since it is cut from them, stops or has no room.
+    std::uint16_t relay_port = 0;
 };
 
 /// @brief A move as one host has it.
--- a/tests/integration/integration-partition.cpp
+++ b/tests/integration/integration-partition.cpp
@@ -192,6 +192,11 @@
     CHECK(serves(cut, 60));
     CHECK(cut.counted()->sent - cut.counted()->served <= 2);
 
+    // A path that is gone accuses no request of crashes.
+    for (const auto& host : cut_hosts)
+        CHECK(site.log_text(host).find("event=endpoint_crashed") ==
+              std::string::npos);
+
     // What may run once has run once.
     std::map<std::string, int> runs;
     for (const auto& each : site.runs("/book/c"))
@@ -199,3 +204,63 @@
     for (const auto& [id, count] : runs)
         CHECK(count == 1);
 }
+
+TEST_CASE("hosts that all reach no endpoint refuse at once, and are not ready",
+          "[partition]")
+{
+    installation site(json::object(), 2);
+    for (int i = 1; i <= 4; ++i)
+        site.start_replica("pool-" + std::to_string(i), "pool");
+    for (int view = 1; view <= 2; ++view)
+    {
+        site.link_view(view);
+        site.start_host(cut_hosts[view - 1], "graceS = 8", view);
+    }
+    callers traffic(site, cut_hosts);
+    REQUIRE(serves(traffic, 30));
+
+    site.set_links(1, "hang");
+    site.set_links(2, "hang");
+    REQUIRE(wait_until(
+        [&]
+        {
+            return !site.ready("c1") && !site.ready("c2");
+        }));
+    const auto refused =
+        site.call("c1", "/stream/refused", {{"Authorization", "Token k2"}});
+    REQUIRE(refused);
+    CHECK(refused->status == 503);
+    CHECK(refused->has_header("Retry-After"));
+
+    site.set_links(1, "pass");
+    site.set_links(2, "pass");
+    CHECK(wait_until(
+        [&]
+        {
+            return site.ready("c1") && site.ready("c2");
+        }));
+    traffic.start_count();
+    CHECK(serves(traffic, 30));
+    CHECK(site.runs("/stream/refused").empty());
+}
+
+TEST_CASE("hosts that reach a part of the endpoints serve their callers",
+          "[partition]")
+{
+    const std::string mode = GENERATE("hang", "refuse");
+    INFO(mode);
+    divided_site site;
+    callers cut(site, cut_hosts);
+    REQUIRE(serves(cut, 30));
+    site.cut(mode, GENERATE("pool-", "desk-"));
+    wait_for_contact();
+    cut.start_count();
+    REQUIRE(wait_until(
+        [&]
+        {
+            return cut.counted()->sent >= enough_requests;
+        },
+        deadline_ms));
+    INFO("served " << cut.counted()->served << " of " << cut.counted()->sent);
+    CHECK(3 * cut.counted()->served >= 2 * cut.counted()->sent);
+}
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -50,6 +50,7 @@
     const auto good = platform::decode_settings(good_settings);
     CHECK(good.faults.empty());
     CHECK(good.settings.peers == socket_address{"10.1.0.4", 7340});
+    CHECK(good.settings.relay == socket_address{"10.1.0.4", 7341});
     CHECK(good.settings.bounds.drain == milliseconds(2500));
     CHECK(good.settings.bounds.grace == milliseconds(9000));
     const auto bad = platform::decode_settings(
--- a/tests/unit/unit-directory.cpp
+++ b/tests/unit/unit-directory.cpp
@@ -100,7 +100,7 @@
                                    {
                                        return m_numbers();
                                    },
-                                   [](const limit_observation&) {}};
+                                   [](const limit_observation&) {}, [] {}};
 };
 
 } // namespace
