--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -192,7 +192,7 @@
     /// Sets the state of an endpoint in the store.
     void list_replica(const std::string& id, const std::string& service,
                       const std::string& state,
-                      const std::string& version = "v1") const
+                      const std::string& version = "v1", int slots = 8) const
     {
         upsert_object(
             "servers", id,
@@ -201,7 +201,7 @@
               "127.0.0.1:" + std::to_string(m_replicas.at(id)->port())},
              {"zone", "z1"},
              {"version", version},
-             {"slots", 8},
+             {"slots", slots},
              {"state", state}});
     }
 
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -3,13 +3,20 @@
 //   GET|POST any path   runs the request; answers with an event stream if the
 //                       path contains "/stream/", else with the run's number
 //   PUT  /fault         (tests) {events, gap_ms, delay_ms, break_after, shed,
-//                       status, resume_status, lose_answer, limit}
+//                       status, resume_status, lose_answer, limit, slots,
+//                       brittle}
+//
+// With "brittle" it names that figure in all answers. From 3 s later on it
+// takes only "slots" requests at a time, and ends when it turns more than that
+// figure away in a second; the end is logged as the event "fall".
 //
 // Each run is logged with its body, headers and the time of the monotonic
 // clock.
 
 #include <atomic>
 #include <chrono>
+#include <cstdlib>
+#include <deque>
 #include <mutex>
 #include <string>
 
@@ -43,6 +50,8 @@
     int resume_status = 200;  ///< status of a request with Last-Event-Id
     bool lose_answer = false; ///< runs the request and breaks the connection
     std::string limit;        ///< named in responses; empty: none
+    int slots = 0;            ///< requests at a time when it is brittle
+    std::string brittle;      ///< named in responses; empty: none
 };
 
 long long now_ms()
@@ -88,7 +97,10 @@
                     requested.value("status", 200),
                     requested.value("resume_status", 200),
                     requested.value("lose_answer", false),
-                    requested.value("limit", "")};
+                    requested.value("limit", ""),
+                    requested.value("slots", 0),
+                    requested.value("brittle", "")};
+        m_brittle_since = now_ms();
     }
 
     void handle_call(const httplib::Request& request,
@@ -108,6 +120,15 @@
             response.set_header("Replica-Id", FLAGS_id);
             return;
         }
+        if (!active_faults.brittle.empty())
+            response.set_header("Server-Brittle", active_faults.brittle);
+        const running_request running(m_running);
+        if (has_no_room(active_faults))
+        {
+            response.status = 503;
+            response.set_header("Not-Executed", "1");
+            return;
+        }
         if (active_faults.shed)
         {
             response.status = 503;
@@ -148,6 +169,50 @@
             stream(request, response, active_faults);
     }
 
+    /// Counts a request while it is handled.
+    struct running_request
+    {
+        explicit running_request(std::atomic<int>& with_count)
+            : count(with_count)
+        {
+            ++count;
+        }
+
+        ~running_request()
+        {
+            --count;
+        }
+
+        std::atomic<int>& count;
+    };
+
+    /// Whether a request is turned away; the process ends if that happens too
+    /// often.
+    bool has_no_room(const faults& active_faults)
+    {
+        constexpr long long notice_ms = 3000;
+        constexpr long long second_ms = 1000;
+        const std::lock_guard lock(m_mutex);
+        const auto now = now_ms();
+        if (active_faults.brittle.empty() ||
+            now - m_brittle_since < notice_ms ||
+            m_running <= active_faults.slots)
+            return false;
+        m_turned_away.push_back(now);
+        while (now - m_turned_away.front() >= second_ms)
+            m_turned_away.pop_front();
+        if (static_cast<int>(m_turned_away.size()) >
+            std::stoi(active_faults.brittle))
+        {
+            m_log.append({{"event", "fall"},
+                          {"replica", FLAGS_id},
+                          {"path", "fall"},
+                          {"at_ms", now}});
+            std::_Exit(1);
+        }
+        return true;
+    }
+
     static void stream(const httplib::Request& request,
                        httplib::Response& response, const faults& active_faults)
     {
@@ -187,6 +252,9 @@
     std::mutex m_mutex;
     faults m_faults;
     std::atomic<int> m_runs{0};
+    std::atomic<int> m_running{0};
+    long long m_brittle_since = 0;
+    std::deque<long long> m_turned_away; ///< times
     httplib::Server m_server;
 };
 
