Send brittle endpoints no more than they have slots for

Callers saw a service lose endpoint after endpoint while it said Server-Brittle: each host sent what it liked, what was turned away made the endpoint fall over, and the falls looked like crashes by requests.

Cause: the header was read nowhere, and the limit of a host's requests at one endpoint (three times an equal share) is meant for endpoints that queue.

Hosts now tell each other which endpoints are brittle, and divide the slots of such a service among them: all slots in one sequence, taken in turn, so that together they send no more than there is room for, and no host has over one slot more than another. A request that is turned away stops all hosts for as many seconds as would keep to the figure if each had one turned away; an engine that reports waiting requests gets none. If no endpoint has room for this host, the request is refused at once. The end of a brittle endpoint that has just turned requests away accuses nothing.

--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
 #include <rhubarbgrade/detail/routing/relay.hpp>         // relay_host
 #include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
+#include <rhubarbgrade/detail/routing/slot_share.hpp>    // slot_share
 
 namespace rhubarbgrade
 {
@@ -35,6 +36,8 @@
     /// This host's shares of the request limits that endpoints have named, by
     /// the hash of their process.
     std::map<std::uint64_t, request_share> request_shares;
+    /// The same for the slots of brittle endpoints.
+    std::map<std::uint64_t, slot_share> slot_shares;
     std::size_t hosts = 1; ///< among which fleet-wide limits are divided
     /// Prompt parts and requests that may have crashed an endpoint, by id or
     /// fingerprint; whole answers to them are reported.
--- a/include/rhubarbgrade/detail/routing/request_limit.hpp
+++ b/include/rhubarbgrade/detail/routing/request_limit.hpp
@@ -19,6 +19,15 @@
     time_point_t named_at{}; ///< last answer that named it
     /// When the last request was sent whose answer named no limit.
     time_point_t unnamed_at{};
+    /// When it last turned a request away for want of room.
+    time_point_t rejected_at{};
+};
+
+/// @brief What an endpoint's figure limits.
+enum class limit_kind
+{
+    requests,  ///< those it takes
+    rejections ///< those it can turn away without falling over
 };
 
 /// @brief An endpoint's answer, as far as request limits are concerned.
@@ -28,6 +37,8 @@
     std::optional<double> per_s; ///< empty if the answer named no limit
     time_point_t sent_at{};      ///< of the request
     time_point_t answered_at{};
+    bool turned_away = false; ///< the request was
+    limit_kind kind = limit_kind::requests;
 };
 
 /// @brief Records an answer that named a limit. Answers can overtake each
--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -65,8 +65,11 @@
                                       time_point_t::clock::now());
         co_return;
     }
-    // An endpoint that has left, or can't be reached, is no evidence.
-    if (!opened.refused || !endpoint->listed)
+    // An endpoint that has left, can't be reached, or fell over because it had
+    // no room is no evidence.
+    if (!opened.refused || !endpoint->listed ||
+        endpoint_directory::fell_for_room(*endpoint,
+                                          time_point_t::clock::now()))
         co_return;
     spdlog::warn("event=endpoint_crashed endpoint={} suspects={}",
                  endpoint->entry.id, suspects.size());
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -74,6 +74,12 @@
 /// The same for a reported queue, which takes longer to be worked off.
 constexpr double queue_decay_s = 2.0;
 
+/// Waiting requests, as reported, from which a brittle engine gets no more.
+constexpr double max_brittle_waiting = 0.5;
+
+/// Age up to which a rejection explains the end of a brittle endpoint.
+constexpr milliseconds rejection_evidence{2000};
+
 /// A request without an answer after half its objective, or this time, waits in
 /// a queue.
 constexpr milliseconds min_delay{250};
@@ -191,10 +197,31 @@
     return default_idle_time;
 }
 
+/// Whether a brittle endpoint has turned a request away so lately that it gets
+/// none.
+bool is_paused(const pool_endpoint& endpoint, std::size_t hosts,
+               time_point_t now)
+{
+    const auto& share = endpoint.slots_here;
+    return share && now < std::max(endpoint.rejected_at, share->rejected_at) +
+                              rejection_pause(share->rejections_per_s, hosts);
+}
+
+/// Whether this host has no part of a brittle endpoint now.
+bool has_no_room(const pool_endpoint& endpoint, const engine_queue& queue,
+                 std::size_t hosts, time_point_t now)
+{
+    return endpoint.slots_here && (endpoint.slots_here->slots == 0 ||
+                                   queue.waiting >= max_brittle_waiting ||
+                                   is_paused(endpoint, hosts, now));
+}
+
 /// Most requests of this host at one endpoint. It exceeds an equal share of the
 /// endpoint's slots, because the load is not spread equally over the hosts.
 std::uint32_t slot_limit(const pool_endpoint& endpoint, std::size_t hosts)
 {
+    if (endpoint.slots_here)
+        return endpoint.slots_here->slots;
     constexpr std::uint32_t min_slots = 4;
     constexpr std::uint32_t overcommit = 3;
     const auto share =
@@ -245,6 +272,11 @@
         }
         else
             known->share = share->second;
+        const auto slots = view->slot_shares.find(process_hash(entry));
+        if (slots == view->slot_shares.end())
+            known->slots_here.reset();
+        else
+            known->slots_here = slots->second;
         m_by_service[entry.service].push_back(known);
     }
     std::erase_if(m_by_id,
@@ -298,6 +330,12 @@
             if (wait && (!shortest || *wait < *shortest))
                 shortest = wait;
         }
+        else if (has_no_room(*each,
+                             engine
+                                 ? queue_of(*each, criteria, m_view->hosts, now)
+                                 : engine_queue(),
+                             m_view->hosts, now))
+            shortest = milliseconds(0);
         else if (engine &&
                  is_saturated(queue_of(*each, criteria, m_view->hosts, now),
                               criteria.objective))
@@ -365,6 +403,7 @@
         candidate_state.usable =
             each->listed && now >= each->ejected_until &&
             limit_allows(*each, now) &&
+            !has_no_room(*each, candidate_state.queue, m_view->hosts, now) &&
             version_allowed(*each, to_trial_version, split) &&
             std::find(criteria.tried.begin(), criteria.tried.end(), each) ==
                 criteria.tried.end();
@@ -738,15 +777,34 @@
     endpoint.reported_at = now;
 }
 
-void endpoint_directory::record_limit(const pool_endpoint& endpoint,
+void endpoint_directory::record_limit(pool_endpoint& endpoint,
                                       const platform::response_head& head,
                                       time_point_t sent_at,
                                       time_point_t now) const
 {
-    const bool unreadable = head.names_limit && !head.limit_per_s;
-    if (unreadable || (!head.names_limit && !endpoint.share))
-        return;
-    m_on_limit({process_hash(endpoint.entry), head.limit_per_s, sent_at, now});
+    const auto process = process_hash(endpoint.entry);
+    const auto report = [&](limit_kind kind, bool named,
+                            const std::optional<double>& per_s, bool in_force)
+    {
+        const bool unreadable = named && !per_s;
+        if (!unreadable && (named || in_force))
+            m_on_limit({process, per_s, sent_at, now, head.not_run, kind});
+    };
+    report(limit_kind::requests, head.names_limit, head.limit_per_s,
+           endpoint.share.has_value());
+    report(limit_kind::rejections, head.names_brittle, head.rejections_per_s,
+           endpoint.slots_here.has_value());
+    if (head.not_run)
+        endpoint.rejected_at = now;
+}
+
+bool endpoint_directory::fell_for_room(const pool_endpoint& endpoint,
+                                       time_point_t now)
+{
+    return endpoint.slots_here &&
+           now - std::max(endpoint.rejected_at,
+                          endpoint.slots_here->rejected_at) <
+               rejection_evidence;
 }
 
 void endpoint_directory::close_idle_connections(time_point_t now)
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -155,13 +155,17 @@
                             const platform::response_head& head,
                             time_point_t now);
 
-    /// @brief Reports the request limit that an answer names, or that it no
-    ///        longer names one.
+    /// @brief Reports the limits that an answer names, or that it no longer
+    ///        names one.
     /// @param[in] sent_at  when the request was sent
-    void record_limit(const pool_endpoint& endpoint,
+    void record_limit(pool_endpoint& endpoint,
                       const platform::response_head& head, time_point_t sent_at,
                       time_point_t now) const;
 
+    /// @brief Whether the endpoint is brittle and has turned requests away so
+    ///        lately that this explains its end.
+    static bool fell_for_room(const pool_endpoint& endpoint, time_point_t now);
+
     /// @brief Closes connections that have exceeded their idle time-out.
     void close_idle_connections(time_point_t now);
 
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -10,6 +10,7 @@
 #include <rhubarbgrade/detail/base/types.hpp>            // time_point_t
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
 #include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
+#include <rhubarbgrade/detail/routing/slot_share.hpp>    // slot_share
 
 #include "endpoint_link.hpp" // endpoint_link
 
@@ -60,6 +61,9 @@
     /// This host's share of the endpoint's request limit, if it has one.
     std::optional<request_share> share;
     request_bucket bucket; ///< of the share
+    /// This host's part of the slots if the endpoint is brittle.
+    std::optional<slot_share> slots_here;
+    time_point_t rejected_at{}; ///< a request, for want of room
 };
 
 } // namespace rhubarbgrade
--- a/src/node/limit_pool.cpp
+++ b/src/node/limit_pool.cpp
@@ -35,13 +35,21 @@
     auto& known = m_known[observation.process];
     const bool was_in_force = in_force(known);
     for (auto* each : {&m_observed[observation.process], &known})
+    {
+        if (observation.turned_away)
+            each->rejected_at =
+                std::max(each->rejected_at, observation.answered_at);
         if (observation.per_s)
             record_named(*each, *observation.per_s, observation.sent_at,
                          observation.answered_at);
         else
             record_unnamed(*each, observation.sent_at);
+    }
     if (in_force(known) != was_in_force)
-        spdlog::info("event=request_limit process={:016x} per_s={} in_force={}",
+        spdlog::info("event={} process={:016x} per_s={} in_force={}",
+                     observation.kind == limit_kind::requests
+                         ? "request_limit"
+                         : "brittle_endpoint",
                      observation.process, known.per_s, in_force(known));
 }
 
@@ -49,7 +57,9 @@
 {
     for (const auto& each : known)
     {
-        request_limit other{each.per_s, {}, {}};
+        request_limit other{each.per_s, {}, {}, {}};
+        if (each.rejected_age)
+            other.rejected_at = now - *each.rejected_age;
         if (each.named_age)
             other.named_at = now - *each.named_age;
         if (each.unnamed_age)
@@ -65,7 +75,8 @@
         if (in_force(m_known.at(process)) ||
             now - limit.unnamed_at < end_report_time)
             all.push_back({process, limit.per_s, age_of(limit.named_at, now),
-                           age_of(limit.unnamed_at, now)});
+                           age_of(limit.unnamed_at, now),
+                           age_of(limit.rejected_at, now)});
     return all;
 }
 
@@ -79,6 +90,17 @@
                       });
 }
 
+std::map<std::uint64_t, request_limit> limit_pool::limits_in_force() const
+{
+    auto limits = m_known;
+    std::erase_if(limits,
+                  [](const auto& each)
+                  {
+                      return !in_force(each.second);
+                  });
+    return limits;
+}
+
 std::map<std::uint64_t, request_share>
 limit_pool::shares(std::span<const std::string> live_hosts,
                    std::size_t all_hosts) const
--- a/src/node/limit_pool.hpp
+++ b/src/node/limit_pool.hpp
@@ -37,6 +37,9 @@
     /// @param[in] processes  hashes of their processes
     void retain(const std::set<std::uint64_t>& processes);
 
+    /// @brief The limits in force, by process.
+    std::map<std::uint64_t, request_limit> limits_in_force() const;
+
     /// @brief This host's shares of the limits in force, by process.
     std::map<std::uint64_t, request_share>
     shares(std::span<const std::string> live_hosts,
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -68,7 +68,8 @@
       m_moves(loop.get_executor(), m_store),
       m_presence(settings.host),
       m_crashes(settings.host),
-      m_limits(settings.host)
+      m_limits(settings.host),
+      m_brittle(settings.host)
 {
 }
 
@@ -326,6 +327,7 @@
     view->crash_suspects = m_published_suspects;
     view->quarantined = m_published_quarantine;
     view->request_shares = m_published_shares;
+    view->slot_shares = m_published_slots;
     view->relays = m_published_relays;
     view->host_ips = m_host_ips;
     m_traffic.publish_view(std::move(view));
@@ -378,6 +380,7 @@
     heartbeat.evidence = m_moves.evidence();
     heartbeat.crashes = m_crashes.shared(now);
     heartbeat.limits = m_limits.shared(now);
+    heartbeat.brittle = m_brittle.shared(now);
     heartbeat.relay_port = m_relay_port;
     return heartbeat;
 }
@@ -407,6 +410,7 @@
     m_crashes.merge(heartbeat.crashes, now);
     publish_crashes(now);
     m_limits.merge(heartbeat.limits, now);
+    m_brittle.merge(heartbeat.brittle, now);
     publish_limits(now);
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
@@ -456,7 +460,8 @@
 
 void node_control::record_limit(const limit_observation& observation)
 {
-    m_limits.observe(observation);
+    (observation.kind == limit_kind::requests ? m_limits : m_brittle)
+        .observe(observation);
     if (publish_limits(time_point_t::clock::now()))
         m_peers.hasten_heartbeat();
 }
@@ -464,13 +469,36 @@
 bool node_control::publish_limits(time_point_t now)
 {
     auto shares = m_limits.shares(m_presence.live_hosts(now), m_host_count);
-    if (shares == m_published_shares)
+    auto slots = share_slots(now);
+    if (shares == m_published_shares && slots == m_published_slots)
         return false;
     m_published_shares = std::move(shares);
+    m_published_slots = std::move(slots);
     publish();
     return true;
 }
 
+std::map<std::uint64_t, slot_share>
+node_control::share_slots(time_point_t now) const
+{
+    const auto limits = m_brittle.limits_in_force();
+    std::map<std::string, std::vector<slot_offer>> offers; // by service
+    for (const auto& [id, known] : m_endpoints.endpoints)
+        if (const auto process = process_hash(known.entry);
+            !known.entry.leaving && limits.contains(process))
+            offers[known.entry.service].push_back({process, known.entry.slots});
+    std::map<std::uint64_t, slot_share> shares;
+    for (const auto& [service, endpoints] : offers)
+        for (const auto& [process, slots] :
+             share_of_slots(endpoints, m_settings.host,
+                            m_presence.live_hosts(now), m_host_count))
+        {
+            const auto& limit = limits.at(process);
+            shares[process] = {slots, limit.per_s, limit.rejected_at};
+        }
+    return shares;
+}
+
 void node_control::set_relay_port(std::uint16_t port)
 {
     m_relay_port = port;
@@ -500,6 +528,7 @@
     for (const auto& [id, known] : m_endpoints.endpoints)
         processes.insert(process_hash(known.entry));
     m_limits.retain(processes);
+    m_brittle.retain(processes);
 }
 
 void node_control::publish_crashes(time_point_t now)
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -110,6 +110,8 @@
     /// @return whether they have
     bool publish_limits(time_point_t now);
     void forget_gone_limits();
+    /// This host's part of the slots of brittle endpoints, by process.
+    std::map<std::uint64_t, slot_share> share_slots(time_point_t now) const;
     /// Publishes if the hosts that pass connections on have changed.
     void publish_relays(time_point_t now);
     boost::asio::awaitable<void> tick();
@@ -126,6 +128,7 @@
     peer_presence m_presence;
     crash_pool m_crashes;
     limit_pool m_limits;
+    limit_pool m_brittle; ///< rejections that endpoints survive
     endpoint_registry m_endpoints;
     std::shared_ptr<const deployment> m_configuration;
     std::string m_configuration_text; ///< as stored, for peers
@@ -133,6 +136,7 @@
     std::set<std::uint64_t> m_published_suspects;
     std::map<std::uint64_t, int> m_published_quarantine;
     std::map<std::uint64_t, request_share> m_published_shares;
+    std::map<std::uint64_t, slot_share> m_published_slots;
     std::vector<relay_host> m_published_relays;
     std::set<std::string> m_host_ips;
     std::map<std::string, relay_host> m_peer_hosts; ///< without a relay port
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -50,6 +50,7 @@
   # Ages plus one, in ms, 0 for never.
   namedAge @2 :UInt32;       # last answer that named it
   unnamedAge @3 :UInt32;     # last request whose answer named none
+  rejectedAge @4 :UInt32;    # last request turned away for want of room
 }
 
 # A suspect that must not be run.
@@ -71,6 +72,7 @@
   canWrite @7 :Bool;         # the sender can write the escrow account
   quarantined @8 :List(Quarantine);
   limits @9 :List(RequestLimit);
+  brittle @11 :List(RequestLimit); # of requests that endpoints can turn away
   relayPort @10 :UInt16;     # passes connections on to endpoints; 0: does not
 }
 
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5b7944dda38c937, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a5b7944dda38c937, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -164,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -885,6 +885,8 @@
 
   inline  ::uint32_t getUnnamedAge() const;
 
+  inline  ::uint32_t getRejectedAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -925,6 +927,9 @@
   inline  ::uint32_t getUnnamedAge();
   inline void setUnnamedAge( ::uint32_t value);
 
+  inline  ::uint32_t getRejectedAge();
+  inline void setRejectedAge( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1082,6 +1087,9 @@
 
   inline  ::uint16_t getRelayPort() const;
 
+  inline bool hasBrittle() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader getBrittle() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1167,6 +1175,13 @@
   inline  ::uint16_t getRelayPort();
   inline void setRelayPort( ::uint16_t value);
 
+  inline bool hasBrittle();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder getBrittle();
+  inline void setBrittle( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder initBrittle(unsigned int size);
+  inline void adoptBrittle(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> disownBrittle();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3076,6 +3091,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RequestLimit::Reader::getRejectedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestLimit::Builder::getRejectedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setRejectedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Quarantine::Reader::getSuspect() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3392,6 +3421,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasBrittle() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasBrittle() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getBrittle() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setBrittle( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initBrittle(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptBrittle(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool Process::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -209,26 +209,29 @@
 }
 
 /// Limits that are not finite or negative are dropped.
-std::vector<shared_limit> read_limits(wire::Beat::Reader from)
+std::vector<shared_limit>
+read_limits(capnp::List<wire::RequestLimit>::Reader from)
 {
     std::vector<shared_limit> decoded;
-    for (const auto each : from.getLimits())
+    for (const auto each : from)
         if (std::isfinite(each.getPerSecond()) && each.getPerSecond() >= 0)
             decoded.push_back({each.getProcess(), each.getPerSecond(),
                                read_age(each.getNamedAge()),
-                               read_age(each.getUnnamedAge())});
+                               read_age(each.getUnnamedAge()),
+                               read_age(each.getRejectedAge())});
     return decoded;
 }
 
-void write_limits(wire::Beat::Builder to, const std::vector<shared_limit>& from)
+void write_limits(capnp::List<wire::RequestLimit>::Builder limits,
+                  const std::vector<shared_limit>& from)
 {
-    auto limits = to.initLimits(size_of(from));
     for (unsigned i = 0; i < limits.size(); ++i)
     {
         limits[i].setProcess(from[i].process);
         limits[i].setPerSecond(from[i].per_s);
         limits[i].setNamedAge(write_age(from[i].named_age));
         limits[i].setUnnamedAge(write_age(from[i].unnamed_age));
+        limits[i].setRejectedAge(write_age(from[i].rejected_age));
     }
 }
 
@@ -244,7 +247,8 @@
     for (const auto each : root.getEvidence())
         heartbeat.evidence.push_back(read_evidence(each));
     heartbeat.crashes = read_crashes(root);
-    heartbeat.limits = read_limits(root);
+    heartbeat.limits = read_limits(root.getLimits());
+    heartbeat.brittle = read_limits(root.getBrittle());
     heartbeat.relay_port = root.getRelayPort();
     return heartbeat;
 }
@@ -378,7 +382,9 @@
     for (unsigned i = 0; i < evidence.size(); ++i)
         write_evidence(evidence[i], heartbeat.evidence[i]);
     write_crashes(root, heartbeat.crashes);
-    write_limits(root, heartbeat.limits);
+    write_limits(root.initLimits(size_of(heartbeat.limits)), heartbeat.limits);
+    write_limits(root.initBrittle(size_of(heartbeat.brittle)),
+                 heartbeat.brittle);
     return flatten(message);
 }
 
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -57,6 +57,8 @@
     std::optional<milliseconds> named_age;
     /// Since the last request whose answer named none.
     std::optional<milliseconds> unnamed_age;
+    /// Since it last turned a request away for want of room.
+    std::optional<milliseconds> rejected_age;
 };
 
 /// @brief The datagram that a host sends to its peers several times a second.
@@ -71,6 +73,7 @@
     std::vector<shared_evidence> evidence;
     shared_crashes crashes;
     std::vector<shared_limit> limits;
+    std::vector<shared_limit> brittle; ///< of what endpoints can turn away
     /// Port at which the host passes connections on to endpoints; 0: it does
     /// not, since it is cut from them, stops or has no room.
     std::uint16_t relay_port = 0;
--- a/src/routing/request_limit.cpp
+++ b/src/routing/request_limit.cpp
@@ -45,6 +45,7 @@
         limit.named_at = other.named_at;
     }
     limit.unnamed_at = std::max(limit.unnamed_at, other.unnamed_at);
+    limit.rejected_at = std::max(limit.rejected_at, other.rejected_at);
 }
 
 bool in_force(const request_limit& limit)
--- a/tests/unit/unit-limits.cpp
+++ b/tests/unit/unit-limits.cpp
@@ -12,6 +12,7 @@
 #include <platform/caller_codec.hpp>
 #include <rhubarbgrade/detail/placing/place.hpp>
 #include <rhubarbgrade/detail/routing/request_limit.hpp>
+#include <rhubarbgrade/detail/routing/slot_share.hpp>
 
 #include "../../src/node/limit_pool.hpp"
 #include "../../src/peers/peer_state.hpp"
@@ -226,15 +227,89 @@
     CHECK(first.shares(hosts, 2).empty());
 }
 
+TEST_CASE("what brittle endpoints can turn away is a decimal number",
+          "[limits]")
+{
+    boost::beast::http::fields fields;
+    CHECK_FALSE(platform::decode_response(fields).names_brittle);
+    fields.insert("Server-Brittle", "3");
+    CHECK(platform::decode_response(fields).rejections_per_s == 3.0);
+    CHECK_FALSE(platform::decode_response(fields).names_limit);
+    fields.set("Server-Brittle", "many");
+    CHECK(platform::decode_response(fields).names_brittle);
+    CHECK_FALSE(platform::decode_response(fields).rejections_per_s);
+}
+
+TEST_CASE("hosts have all slots of brittle endpoints among them, and no more",
+          "[limits]")
+{
+    const auto count = GENERATE(1, 3, 9, 79, 350);
+    const auto endpoints = GENERATE(1, 4, 8, 140);
+    const auto slots = GENERATE(1U, 2U, 6U, 128U);
+    INFO(count << " hosts, " << endpoints << " endpoints, " << slots);
+    const auto hosts = host_names(static_cast<std::size_t>(count));
+    std::vector<slot_offer> offers;
+    for (int i = 0; i < endpoints; ++i)
+        offers.push_back({static_cast<std::uint64_t>(i) * 7919 % 541, slots});
+    std::map<std::uint64_t, std::uint32_t> totals;
+    std::uint32_t least = ~0U;
+    std::uint32_t most = 0;
+    for (const auto& host : hosts)
+    {
+        std::uint32_t own = 0;
+        for (const auto& [process, share] :
+             share_of_slots(offers, host, hosts, hosts.size()))
+        {
+            totals[process] += share;
+            own += share;
+        }
+        least = std::min(least, own);
+        most = std::max(most, own);
+    }
+    for (const auto& [process, total] : totals)
+        CHECK(total == slots);
+    CHECK(most - least <= 1);
+    // A host that hears of fewer takes no more.
+    const std::vector<std::string> alone{hosts[0]};
+    for (const auto& [process, share] :
+         share_of_slots(offers, hosts[0], alone, hosts.size()))
+        CHECK(share <= slots / hosts.size() + 1);
+}
+
+TEST_CASE("all hosts pause when a brittle endpoint has turned a request away",
+          "[limits]")
+{
+    CHECK(rejection_pause(100, 3) == milliseconds(1000));
+    CHECK(rejection_pause(3, 9) == milliseconds(3000));
+    CHECK(rejection_pause(0, 300) == milliseconds(5000));
+    limit_pool first("h0");
+    limit_pool second("h1");
+    first.observe({5, 3.0, start, start, true, limit_kind::rejections});
+    const auto now = start + milliseconds(100);
+    second.merge(first.shared(now), now);
+    REQUIRE(second.limits_in_force().contains(5));
+    CHECK(second.limits_in_force().at(5).rejected_at == start);
+    // An answer without a rejection does not end the pause.
+    second.observe({5, 3.0, now, now, false, limit_kind::rejections});
+    CHECK(second.limits_in_force().at(5).rejected_at == start);
+}
+
 TEST_CASE("request limits round-trip through heartbeats", "[limits]")
 {
     peer_heartbeat beat;
+    beat.brittle.push_back(
+        {7, 3, milliseconds(20), std::nullopt, milliseconds(5)});
     beat.limits.push_back({5, 1.25, milliseconds(0), std::nullopt});
     beat.limits.push_back({6, 0, milliseconds(900), milliseconds(70)});
     const auto datagram = decode_datagram(encode_heartbeat(beat));
     REQUIRE(datagram);
+    const auto& brittle = std::get<peer_heartbeat>(*datagram).brittle;
+    REQUIRE(brittle.size() == 1);
+    CHECK(brittle[0].process == 7);
+    CHECK(brittle[0].rejected_age == milliseconds(5));
     const auto& limits = std::get<peer_heartbeat>(*datagram).limits;
     REQUIRE(limits.size() == 2);
+    CHECK_FALSE(limits[0].rejected_age);
     CHECK(limits[0].process == 5);
     CHECK(limits[0].per_s == 1.25);
     CHECK(limits[0].named_age == milliseconds(0));
