Read each stored object by itself, and only endpoints that make sense

An odd entry among those of the endpoints could end every host that read the list, or keep it from following the list: the process ended on one nested 100,000 deep (its text was written anew by a recursion), and a number too large for a double made the whole answer unreadable. A port of 70000 was taken as 4464, slots of 1e30, -5 or 2^32 + 8 as some other number, an address that is none was taken as it stood.

An answer is now split into its objects without reading their values; spec and status stay text. What can't be read costs itself only. An endpoint's entry is checked before it is used: size, depth, length of names, address, port, whole numbers in their ranges; so is the time limit of a move. Each bad entry is logged once for each state, with its name.

--- a/src/base/address.cpp
+++ b/src/base/address.cpp
@@ -1,9 +1,10 @@
 #include <rhubarbgrade/detail/base/address.hpp>
 
-#include <charconv>    // from_chars
-#include <string>      // string
-#include <string_view> // string_view
-#include <utility>     // pair
+#include <charconv>     // from_chars
+#include <string>       // string
+#include <string_view>  // string_view
+#include <system_error> // errc
+#include <utility>      // pair
 
 namespace rhubarbgrade
 {
@@ -14,8 +15,11 @@
     if (colon == std::string_view::npos)
         return {std::string(address), -1};
     int port = -1;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
+    const auto* const end = address.data() + address.size();
+    const auto [parsed, fault] =
+        std::from_chars(address.data() + colon + 1, end, port);
+    if (fault != std::errc() || parsed != end)
+        port = -1;
     return {std::string(address.substr(0, colon)), port};
 }
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // includes, max
 #include <chrono>    // duration_cast
 #include <memory>    // make_shared
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/co_spawn.hpp>      // co_spawn
@@ -36,6 +36,9 @@
 /// for state. A watch returns at least every 2 s.
 constexpr milliseconds max_answer_age{2600};
 
+/// Entries that name no endpoint and are remembered.
+constexpr std::size_t max_unusable = 1000;
+
 /// How long this host waits for its own watch to deliver a configuration that
 /// a peer already has, before it fetches the peer's state.
 constexpr milliseconds peer_fetch_delay{300};
@@ -195,8 +198,7 @@
             if (entry)
                 entries.push_back(std::move(*entry));
             else
-                spdlog::warn("ignored an endpoint object: {}",
-                             entry.error().message());
+                report_unusable(each, entry.error());
         }
         const auto now = time_point_t::clock::now();
         if (m_endpoints_known && m_store.era() != m_listed_era)
@@ -311,11 +313,22 @@
     }
     else
     {
-        spdlog::warn("ignored an endpoint object: {}", entry.error().message());
+        report_unusable(object, entry.error());
         remove_endpoint(m_endpoints, object.name, time_point_t::clock::now());
     }
 }
 
+void node_control::report_unusable(const platform::stored_object& object,
+                                   const error& fault)
+{
+    if (m_unusable.size() >= max_unusable)
+        m_unusable.clear();
+    auto& reported = m_unusable[object.name];
+    if (std::exchange(reported, object.revision) != object.revision)
+        spdlog::warn("event=endpoint_ignored name={:.100} revision={} {}",
+                     object.name, object.revision, fault.message());
+}
+
 void node_control::publish()
 {
     auto view = std::make_shared<fleet_view>();
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -94,6 +94,9 @@
     witness_callbacks make_witness_callbacks();
     void apply_configuration(const std::string& spec);
     void apply_endpoint(const platform::stored_object& object);
+    /// Logs that an endpoint's entry names none, once for each state of it.
+    void report_unusable(const platform::stored_object& object,
+                         const error& fault);
     void apply_hosts(const escrow_book& book);
     void handle_heartbeat(const peer_heartbeat& heartbeat);
     void apply_peer_state(const peer_state& state);
@@ -130,6 +133,8 @@
     limit_pool m_limits;
     limit_pool m_brittle; ///< rejections that endpoints survive
     endpoint_registry m_endpoints;
+    /// Revisions of the entries that name no endpoint, by name.
+    std::map<std::string, std::uint64_t> m_unusable;
     std::shared_ptr<const deployment> m_configuration;
     std::string m_configuration_text; ///< as stored, for peers
     std::vector<endpoint_entry> m_published_endpoints;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -70,6 +70,9 @@
             spdlog::warn("{}", page.error().message());
             co_return std::nullopt;
         }
+        if (page->unreadable != 0)
+            spdlog::warn("event=objects_unreadable kind={} count={}", kind,
+                         page->unreadable);
         // Pages of two eras of the store are no list.
         if (after.empty())
             era = store.era();
@@ -126,6 +129,9 @@
             co_await wait_before_retry();
             co_return;
         }
+        if (page->unreadable != 0)
+            spdlog::warn("event=objects_unreadable kind={} count={}", kind,
+                         page->unreadable);
         for (const auto& event : page->events)
             listener.changed(event);
         revision = page->revision;
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -282,3 +282,132 @@
         CHECK(reply->totals.at("clerks").used == 300);
     }
 }
+
+namespace
+{
+
+std::string endpoint_spec(const std::string& fields)
+{
+    return R"({"service":"s","address":"10.0.0.3:80","zone":"z","version":"v1",)"
+           R"("state":"ready","slots":8)" +
+           fields + "}";
+}
+
+std::string listed_item(const std::string& name, const std::string& spec)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":7},"spec":)" +
+           spec + R"(,"status":null})";
+}
+
+std::string nested(std::size_t depth)
+{
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i)
+        text += "[";
+    return text + std::string(depth, ']');
+}
+
+/// Decodes a list, and a watch, of an odd entry between two sound ones.
+/// @return the names of the entries that name an endpoint
+std::vector<std::string> usable_beside(const std::string& odd_spec)
+{
+    const auto item = [](const std::string& name, const std::string& spec)
+    {
+        return listed_item(name, spec);
+    };
+    const auto list = platform::decode_list(
+        R"({"items":[)" + item("i-1", endpoint_spec("")) + "," +
+        item("odd", odd_spec) + "," + item("i-2", endpoint_spec("")) +
+        R"(],"hasMore":false,"storeRevision":9})");
+    const auto events = platform::decode_events(
+        R"({"events":[{"object":)" + item("i-1", endpoint_spec("")) +
+        R"(,"tombstone":false},{"object":)" + item("odd", odd_spec) +
+        R"(},{"object":)" + item("i-2", endpoint_spec("")) +
+        R"(,"tombstone":true}],"storeRevision":9})");
+    REQUIRE(list);
+    REQUIRE(events);
+    CHECK(list->revision == 9);
+    CHECK(events->revision == 9);
+    CHECK(events->events.back().removed);
+    std::vector<std::string> usable;
+    for (const auto& each : list->objects)
+        if (platform::decode_endpoint(each))
+            usable.push_back(each.name);
+    std::vector<std::string> watched;
+    for (const auto& each : events->events)
+        if (platform::decode_endpoint(each.object))
+            watched.push_back(each.object.name);
+    CHECK(watched == usable);
+    return usable;
+}
+
+using names_t = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("an odd entry names no endpoint, and the others hold", "[adapter]")
+{
+    const auto spec = GENERATE(
+        as<std::string>{}, "1e999", "3", "\"x\"", "[]", "{}",
+        endpoint_spec(",\"extra\":\"\xff\xfe\""),
+        endpoint_spec(",\"extra\":1e999"), endpoint_spec(",\"slots\":1e999"),
+        endpoint_spec(",\"slots\":1e30"), endpoint_spec(",\"slots\":-5"),
+        endpoint_spec(",\"slots\":4294967304"), endpoint_spec(",\"slots\":0"),
+        endpoint_spec(",\"slots\":2.5"), endpoint_spec(",\"born\":-3"),
+        endpoint_spec(",\"born\":1e30"), endpoint_spec(",\"born\":1.5"),
+        endpoint_spec(",\"born\":\"1\""),
+        endpoint_spec(",\"address\":\"10.0.0.3:70000\""),
+        endpoint_spec(",\"address\":\"10.0.0.3:65536\""),
+        endpoint_spec(",\"address\":\"10.0.0.3:0\""),
+        endpoint_spec(",\"address\":\"10.0.0.3:80x\""),
+        endpoint_spec(",\"address\":\"10.0.0.3:\""),
+        endpoint_spec(",\"address\":\"10.0.0.300:80\""),
+        endpoint_spec(",\"address\":\"nohost:80\""),
+        endpoint_spec(",\"state\":\"gone\""), endpoint_spec(",\"zone\":3"));
+    INFO(spec.substr(0, 200));
+    CHECK(usable_beside(spec) == names_t{"i-1", "i-2"});
+}
+
+TEST_CASE("a deeply nested or oversized entry names no endpoint", "[adapter]")
+{
+    CHECK(usable_beside(endpoint_spec(",\"extra\":" + nested(100000))) ==
+          names_t{"i-1", "i-2"});
+    CHECK(usable_beside(nested(1000000)) == names_t{"i-1", "i-2"});
+    CHECK(usable_beside(endpoint_spec(",\"zone\":\"" +
+                                      std::string(100000, 'z') + "\"")) ==
+          names_t{"i-1", "i-2"});
+    CHECK(usable_beside(endpoint_spec(",\"extra\":" + nested(5))) ==
+          names_t{"i-1", "odd", "i-2"});
+}
+
+TEST_CASE("an object whose metadata can't be read is left out", "[adapter]")
+{
+    const auto list = platform::decode_list(
+        R"({"items":[{"metadata":{"name":5}},{"metadata":{"name":"a",)"
+        R"("revision":1e999}},[],)" +
+        listed_item("i-1", endpoint_spec("")) +
+        R"(],"hasMore":true,"storeRevision":9})");
+    REQUIRE(list);
+    REQUIRE(list->objects.size() == 1);
+    CHECK(list->objects[0].name == "i-1");
+    CHECK(list->more);
+    CHECK_FALSE(platform::decode_list(R"({"items":[)"));
+    CHECK_FALSE(platform::decode_list(R"({"items":[]})"));
+    CHECK_FALSE(platform::decode_list("[]"));
+    CHECK_FALSE(platform::decode_list(nested(1000000)));
+}
+
+TEST_CASE("a move whose time limit is no sensible number is ignored",
+          "[adapter]")
+{
+    const auto decode = [](const std::string& limit)
+    {
+        return platform::decode_move(stored_object_of(
+            R"({"service":"s","target":"v2","durationS":)" + limit + "}"));
+    };
+    CHECK(decode("12.5"));
+    CHECK_FALSE(decode("1e30"));
+    CHECK_FALSE(decode("1e999"));
+    CHECK_FALSE(decode("-1"));
+    CHECK_FALSE(decode("\"4\""));
+}
