Refuse what can't end before a planned stop does, and answer what hasn't

Callers of a host that was stopped by plan: a request whose body ended late in the grace period lost its connection without an answer, as the host did not wait for it; one that was passed on late, or ran long, was cut at the end of the grace, among them requests that may not be repeated.

Cause: only requests that had been read whole counted as in flight, and all of them were passed on, whenever that was.

From 2.6 s after the signal on, when the balancer has stopped to send connections, a request is passed on only if its time limit ends before the host does; else it is refused at once with 503, before each attempt anew. Requests that have begun to arrive are waited for. What still runs 0.7 s before the kill is given up: 504 if it may have run, 503 if it hasn't. Connections of peers are closed when they carry no request.

--- /dev/null
+++ b/include/rhubarbgrade/detail/routing/planned_stop.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <rhubarbgrade/detail/base/types.hpp> // time_point_t
+
+namespace rhubarbgrade
+{
+
+/// @brief The times of a host's planned stop.
+struct planned_stop
+{
+    /// From here on callers have no reason to send requests to this host.
+    time_point_t late_from{};
+    time_point_t ends{}; ///< what is not answered by then is given up
+};
+
+/// @brief Whether a request may still be sent to an endpoint.
+///
+/// A late one only if it is certain to end before the host does. An earlier one
+/// is sent in any case, as most take far less time than they may.
+/// @param[in] latest_end  by which the request has ended in any case
+bool may_begin(const planned_stop& stop, time_point_t latest_end,
+               time_point_t now);
+
+} // namespace rhubarbgrade
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -13,6 +13,7 @@
 
 #include <rhubarbgrade/detail/base/hash.hpp>              // hash64
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // admit
+#include <rhubarbgrade/detail/routing/planned_stop.hpp>   // may_begin
 #include <rhubarbgrade/detail/routing/repeat.hpp>         // may_repeat
 
 namespace rhubarbgrade
@@ -154,6 +155,7 @@
       m_head(platform::decode_call(m_request)),
       m_started(time_point_t::clock::now()),
       m_deadline(m_started),
+      m_latest_end(m_started),
       m_deadline_timer(context.executor),
       m_writer(m_session->socket(), m_request.version() >= http_1_1),
       m_version_draw(draw_uniform(context.random))
@@ -168,6 +170,23 @@
         m_attempt->cancel();
 }
 
+void caller_exchange::limit_deadline()
+{
+    m_deadline = std::min(m_deadline, m_context.stop.ends);
+    start_deadline_timer();
+}
+
+bool caller_exchange::too_late() const
+{
+    return m_context.stopping &&
+           !may_begin(m_context.stop, m_latest_end, time_point_t::clock::now());
+}
+
+local_response caller_exchange::stop_response()
+{
+    return {unavailable, "this host stops", random_retry_after()};
+}
+
 void caller_exchange::start_deadline_timer()
 {
     m_deadline_timer.expires_at(m_deadline);
@@ -258,7 +277,12 @@
     const auto wait = m_head.deadline
                           ? std::min(*m_head.deadline, m_route->timeout)
                           : m_route->timeout;
-    m_deadline = m_started + wait;
+    m_latest_end = m_started + wait;
+    m_deadline = m_latest_end;
+    if (too_late())
+        return stop_response();
+    if (m_context.stopping)
+        m_deadline = std::min(m_deadline, m_context.stop.ends);
     return std::nullopt;
 }
 
@@ -519,7 +543,8 @@
             break;
         // It may have been quarantined since it arrived.
         quarantined = is_quarantined();
-        if (quarantined)
+        m_too_late = too_late();
+        if (quarantined || m_too_late)
             break;
         report = co_await attempt(endpoint);
         record_attempt(endpoint, report);
@@ -541,6 +566,8 @@
                             {}};
     if (!m_may_have_run && quarantined)
         response = quarantine_response();
+    else if (!m_may_have_run && m_too_late)
+        response = stop_response();
     else if (!m_may_have_run && m_no_path)
     {
         ++m_context.counters.no_path;
@@ -569,6 +596,7 @@
     else
     {
         start_deadline_timer();
+        m_context.exchanges.insert(this);
         if (co_await reserve_tokens())
         {
             count_first_attempt(m_context.retries[m_service],
@@ -580,6 +608,7 @@
         }
         else
             complete = !m_disconnected;
+        m_context.exchanges.erase(this);
         m_deadline_timer.cancel();
         settle();
     }
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -37,6 +37,9 @@
     ///         connection must be closed
     boost::asio::awaitable<bool> run();
 
+    /// @brief Gives the request up when the host's planned stop ends.
+    void limit_deadline();
+
     /// @brief Cancels the running attempt; called when the caller disconnects.
     void handle_disconnect();
 
@@ -65,6 +68,9 @@
     /// Returns the response if it must be refused.
     std::optional<local_response> check_request();
     bool may_repeat(const attempt_report& report);
+    /// Whether the host stops before the request has ended for certain.
+    bool too_late() const;
+    local_response stop_response();
     local_response capacity_response(milliseconds wait);
     void start_deadline_timer();
     /// The prompt parts that the request shares with others, and the request as
@@ -91,6 +97,7 @@
     platform::call_head m_head;
     time_point_t m_started;
     time_point_t m_deadline;
+    time_point_t m_latest_end; ///< m_deadline without a planned stop
     boost::asio::steady_timer m_deadline_timer;
     response_writer m_writer;
     std::shared_ptr<endpoint_attempt> m_attempt;
@@ -100,6 +107,7 @@
     std::optional<milliseconds> m_capacity_wait;
     token_count_t m_reserved_tokens = 0; ///< 0 if nothing is reserved
     bool m_may_have_run = false;
+    bool m_too_late = false; ///< could outlast the host, which stops
     bool m_no_path =
         false; ///< neither this host nor a relay reaches the service
     bool m_is_trial = false; ///< runs in spite of a quarantine
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -224,7 +224,10 @@
     while (co_await wait_for_input())
     {
         caller_request_t request;
-        if (!co_await read_request(request))
+        ++m_context.reading;
+        const bool was_read = co_await read_request(request);
+        --m_context.reading;
+        if (!was_read)
             break;
         const bool persistent = request.keep_alive();
         const auto current_exchange = std::make_shared<caller_exchange>(
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -35,6 +35,9 @@
 /// Time in which the peer sends its request after it has connected.
 constexpr milliseconds request_timeout{1000};
 
+/// Time without a byte after which an answer counts as ended.
+constexpr milliseconds quiet_time{500};
+
 /// Bytes that are read from one side before they are passed on.
 constexpr std::size_t read_size = 4096;
 
@@ -66,6 +69,11 @@
         m_link->socket.close(ignored);
 }
 
+bool relay_session::busy(time_point_t now) const
+{
+    return m_awaits_answer || now - m_last_byte < quiet_time;
+}
+
 void relay_session::reset()
 {
     boost::system::error_code ignored; // the peer may have disconnected
@@ -117,7 +125,7 @@
 asio::awaitable<void> relay_session::run()
 {
     const auto self = shared_from_this();
-    ++m_context.relayed;
+    m_context.relays.insert(this);
     const auto status = co_await open();
     const bool answered = m_peer.is_open() && co_await answer(status);
     if (answered && m_link)
@@ -126,7 +134,7 @@
         co_await pass_to_endpoint();
     }
     close();
-    --m_context.relayed;
+    m_context.relays.erase(this);
 }
 
 asio::awaitable<void> relay_session::pass_to_endpoint()
@@ -148,6 +156,8 @@
         // The peer closes when it is done or its caller has left.
         if (read_fault)
             co_return;
+        m_last_byte = time_point_t::clock::now();
+        m_awaits_answer = true;
         const auto [write_fault, written] = co_await asio::async_write(
             m_link->socket, asio::buffer(chunk.data(), received), as_values);
         if (write_fault)
@@ -173,6 +183,8 @@
         }
         if (read_fault)
             co_return reset();
+        m_last_byte = time_point_t::clock::now();
+        m_awaits_answer = false;
         const auto [write_fault, written] = co_await asio::async_write(
             m_peer, asio::buffer(chunk.data(), received), as_values);
         if (write_fault)
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -29,13 +29,17 @@
     /// @brief Runs until both connections are closed.
     boost::asio::awaitable<void> run();
 
+    /// @brief Whether an answer is awaited or has come a moment ago.
+    bool busy(time_point_t now) const;
+
+    void close();
+
 private:
     /// Reads which endpoint the peer asks for, and connects to it.
     boost::asio::awaitable<boost::beast::http::status> open();
     boost::asio::awaitable<bool> answer(boost::beast::http::status status);
     boost::asio::awaitable<void> pass_to_endpoint();
     boost::asio::awaitable<void> pass_to_peer();
-    void close();
     /// Resets the peer's connection, so that what it has received does not look
     /// whole.
     void reset();
@@ -45,6 +49,8 @@
     boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer; ///< of the peer's request
     endpoint_link_ptr_t m_link;         ///< to the endpoint
+    time_point_t m_last_byte{};
+    bool m_awaits_answer = false;
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbgrade/detail/fleet/fleet_view.hpp>     // fleet_view_ptr_t
 #include <rhubarbgrade/detail/fleet/node_settings.hpp>  // node_settings
 #include <rhubarbgrade/detail/routing/choose.hpp>       // random_source_t
+#include <rhubarbgrade/detail/routing/planned_stop.hpp> // planned_stop
 #include <rhubarbgrade/detail/routing/shared_retry.hpp> // retry_counts
 
 #include "crash_detector.hpp"     // crash_detector
@@ -22,7 +23,9 @@
 namespace rhubarbgrade
 {
 
+class caller_exchange;
 class caller_session;
+class relay_session;
 
 /// @brief Result of one attempt, as evidence for moves between versions.
 struct version_sample
@@ -93,8 +96,11 @@
     traffic_counters counters;
     std::set<caller_session*> sessions; ///< running; they remove themselves
     std::size_t in_flight = 0;          ///< requests of callers
-    std::size_t relayed = 0;            ///< connections passed on for peers
+    std::size_t reading = 0;            ///< requests that have begun to arrive
+    std::set<caller_exchange*> exchanges; ///< running; they remove themselves
+    std::set<relay_session*> relays;      ///< the same
     bool stopping = false; ///< connections are closed after their response
+    planned_stop stop;     ///< if stopping
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -1,9 +1,10 @@
 #include "traffic_loop.hpp"
 
-#include <memory>  // make_shared
-#include <random>  // mt19937_64, random_device
-#include <string>  // string
-#include <utility> // exchange, move
+#include <algorithm> // min
+#include <memory>    // make_shared
+#include <random>    // mt19937_64, random_device
+#include <string>    // string
+#include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>         // as_tuple
 #include <boost/asio/post.hpp>             // post
@@ -15,6 +16,7 @@
 
 #include "../store/socket_options.hpp" // set_tcp_options, to_endpoint
 #include "../store/spawn.hpp"          // spawn
+#include "caller_exchange.hpp"         // caller_exchange
 #include "caller_session.hpp"          // caller_session
 #include "relay_session.hpp"           // relay_session
 
@@ -51,6 +53,9 @@
 /// process is killed.
 constexpr milliseconds final_write_reserve{500};
 
+/// Time for the answers to what is given up at the end of a stop.
+constexpr milliseconds answer_reserve{200};
+
 random_source_t seeded_random()
 {
     const auto engine =
@@ -178,7 +183,7 @@
 bool traffic_loop::takes_relayed() const
 {
     return m_relay_acceptor.is_open() && !m_context.stopping &&
-           m_context.relayed < m_settings.descriptors / relay_share &&
+           m_context.relays.size() < m_settings.descriptors / relay_share &&
            m_context.directory.reaches_any();
 }
 
@@ -273,8 +278,8 @@
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
-                 counters.no_capacity, counters.no_path, m_context.relayed,
-                 m_context.in_flight);
+                 counters.no_capacity, counters.no_path,
+                 m_context.relays.size(), m_context.in_flight);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
@@ -314,8 +319,11 @@
         const auto sessions = m_context.sessions;
         for (auto* const each : sessions)
             each->close_if_idle();
-        if (m_context.in_flight == 0 ||
-            time_point_t::clock::now() >= drain_deadline)
+        const auto now = time_point_t::clock::now();
+        const bool relays_busy = close_quiet_relays(now);
+        if ((m_context.in_flight == 0 && m_context.reading == 0 &&
+             !relays_busy) ||
+            now >= drain_deadline)
             break;
         timer.expires_after(poll_interval);
         co_await timer.async_wait(as_values);
@@ -324,10 +332,29 @@
     done(m_context.wallets.states(time_point_t::clock::now()));
 }
 
+bool traffic_loop::close_quiet_relays(time_point_t now)
+{
+    bool any_busy = false;
+    const auto relays = m_context.relays;
+    for (auto* const each : relays)
+        if (each->busy(now))
+            any_busy = true;
+        else
+            each->close();
+    return any_busy;
+}
+
 void traffic_loop::stop(std::function<void(wallet_states_t)> done)
 {
     if (std::exchange(m_context.stopping, true))
         return;
+    const auto now = time_point_t::clock::now();
+    const auto ends =
+        now + m_context.bounds.grace - final_write_reserve - answer_reserve;
+    m_context.stop = {std::min(now + unready_period, ends), ends};
+    const auto exchanges = m_context.exchanges;
+    for (auto* const each : exchanges)
+        each->limit_deadline();
     announce_relay();
     spawn(m_loop, drain(std::move(done)), "drain requests");
 }
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -88,6 +88,9 @@
     /// changed.
     void announce_relay();
     bool takes_relayed() const;
+    /// Closes the connections of peers that carry no request.
+    /// @return whether there are others
+    bool close_quiet_relays(time_point_t now);
     boost::asio::awaitable<void> answer_readiness_checks(tcp_t::socket socket);
     boost::asio::awaitable<void> report_periodically();
     boost::asio::awaitable<void>
--- a/tests/unit/unit-routing.cpp
+++ b/tests/unit/unit-routing.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <rhubarbgrade/detail/routing/planned_stop.hpp>
 #include <rhubarbgrade/rhubarbgrade.hpp>
 
 using namespace rhubarbgrade;
@@ -207,3 +208,16 @@
                   .size() == 5);
     }
 }
+
+TEST_CASE("late in a planned stop only what ends in time is begun", "[routing]")
+{
+    const auto now = time_point_t{} + std::chrono::hours(1);
+    const planned_stop stop{now + milliseconds(2600), now + milliseconds(7300)};
+    const auto long_one = now + milliseconds(15000);
+    CHECK(may_begin(stop, long_one, now));
+    CHECK(may_begin(stop, long_one, now + milliseconds(2599)));
+    CHECK_FALSE(may_begin(stop, long_one, now + milliseconds(2600)));
+    CHECK(may_begin(stop, now + milliseconds(7300), now + milliseconds(5000)));
+    CHECK_FALSE(
+        may_begin(stop, now + milliseconds(7301), now + milliseconds(5000)));
+}
