Relays: forget the path to a service without endpoints; bound heartbeats

Found by reading the change: a host that was cut from a service whose endpoints then left the list stayed cut for good, since nothing probed any more. A stream that may be resumed and hung in a cut waited for its time limit; now it goes on through another host, unless bytes still come over connections that live on. Connections through other hosts are not kept once the own path is back.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -51,8 +51,8 @@
 /// given up.
 constexpr int max_stale_responses = 4;
 
-/// Interval at which an attempt without an answer finds out whether this host
-/// has lost its path to the endpoint.
+/// Interval at which an attempt finds out whether this host has lost its path
+/// to the endpoint.
 constexpr milliseconds path_check_interval{100};
 
 constexpr unsigned misdirected = 421;
@@ -275,6 +275,7 @@
 {
     const auto self = shared_from_this();
     auto report = co_await exchange(params);
+    m_path_timer.reset();
     if (!report.complete && !m_relayed)
         report.path_failed =
             m_directory.is_cut(m_endpoint->entry.service) ||
@@ -292,7 +293,7 @@
             const auto self = weak.lock();
             if (fault || !self || !self->m_link)
                 return;
-            if (!self->m_directory.is_cut(self->m_endpoint->entry.service))
+            if (!self->m_directory.is_silent(self->m_endpoint->entry.service))
                 return self->watch_path();
             boost::system::error_code ignored; // the descriptor is released
             self->m_link->socket.close(ignored);
@@ -318,7 +319,6 @@
     endpoint_directory::record_sent(*m_endpoint, started_at);
     const bool answered = co_await send(params, report) &&
                           co_await read_head(params, parser, head);
-    m_path_timer.reset();
     if (answered && !m_relayed)
         m_directory.record_bytes(*m_endpoint, time_point_t::clock::now());
     endpoint_directory::record_first_byte(*m_endpoint, started_at,
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -74,8 +74,7 @@
 private:
     boost::asio::awaitable<attempt_report>
     exchange(const attempt_params& params);
-    /// Closes the connection when this host has lost its path to the endpoint,
-    /// until the answer begins.
+    /// Closes the connection when this host has lost its path to the endpoint.
     void watch_path();
 
     using parser_t =
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -585,7 +585,12 @@
     {
         const auto endpoint = choose_probe_target(service);
         if (!endpoint)
+        {
+            // Nothing is known of endpoints that are listed later.
+            if (std::exchange(m_paths[service].reach, {}).cut)
+                m_on_reach();
             break;
+        }
         auto opened = co_await open_direct(endpoint);
         const auto now = time_point_t::clock::now();
         if (opened.link)
@@ -617,6 +622,13 @@
     return found != m_paths.end() && found->second.reach.cut;
 }
 
+bool endpoint_directory::is_silent(std::string_view service) const
+{
+    const auto found = m_paths.find(service);
+    return found != m_paths.end() && found->second.reach.cut &&
+           time_point_t::clock::now() - found->second.last_byte >= max_silence;
+}
+
 bool endpoint_directory::any_other_cut(std::string_view service) const
 {
     return std::any_of(m_paths.begin(), m_paths.end(),
@@ -714,7 +726,8 @@
                                            endpoint_link_ptr_t link,
                                            time_point_t now)
 {
-    if (!endpoint.listed || endpoint.idle.size() >= max_idle_links)
+    const bool detour = link->relayed && !is_cut(endpoint.entry.service);
+    if (!endpoint.listed || endpoint.idle.size() >= max_idle_links || detour)
         return;
     link->idle_since = now;
     link->used = true;
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -109,6 +109,10 @@
     ///        service.
     bool is_cut(std::string_view service) const;
 
+    /// @brief Whether the host is cut from the service, and nothing comes over
+    ///        the connections that it still has.
+    bool is_silent(std::string_view service) const;
+
     /// @brief Whether requests can reach the service: directly, or through
     ///        another host.
     bool has_path(std::string_view service) const;
--- a/src/node/limit_pool.cpp
+++ b/src/node/limit_pool.cpp
@@ -1,6 +1,6 @@
 #include "limit_pool.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, min, nth_element
 #include <chrono>    // duration_cast, seconds
 #include <utility>   // move
 
@@ -16,6 +16,10 @@
 /// lost.
 constexpr std::chrono::seconds end_report_time{5};
 
+/// Most limits published at a time, the last observed ones; they take 13 KB of
+/// a heartbeat.
+constexpr std::size_t max_shared = 400;
+
 std::optional<milliseconds> age_of(time_point_t at, time_point_t now)
 {
     if (at == time_point_t{})
@@ -77,6 +81,20 @@
             all.push_back({process, limit.per_s, age_of(limit.named_at, now),
                            age_of(limit.unnamed_at, now),
                            age_of(limit.rejected_at, now)});
+    if (all.size() <= max_shared)
+        return all;
+    const auto newest = [](const shared_limit& each)
+    {
+        return std::min({each.named_age.value_or(milliseconds::max()),
+                         each.unnamed_age.value_or(milliseconds::max()),
+                         each.rejected_age.value_or(milliseconds::max())});
+    };
+    std::nth_element(all.begin(), all.begin() + max_shared, all.end(),
+                     [&](const auto& left, const auto& right)
+                     {
+                         return newest(left) < newest(right);
+                     });
+    all.resize(max_shared);
     return all;
 }
 
--- a/tests/unit/unit-limits.cpp
+++ b/tests/unit/unit-limits.cpp
@@ -294,6 +294,26 @@
     CHECK(second.limits_in_force().at(5).rejected_at == start);
 }
 
+TEST_CASE(
+    "the limits of many endpoints fit into a heartbeat, the last ones first",
+    "[limits]")
+{
+    limit_pool pool("h0");
+    constexpr std::uint64_t endpoints = 2500;
+    for (std::uint64_t i = 0; i < endpoints; ++i)
+    {
+        const auto at = start + milliseconds(i);
+        pool.observe({i, 3.0, at, at, false, limit_kind::rejections});
+    }
+    peer_heartbeat beat;
+    beat.brittle = pool.shared(start + seconds(10));
+    beat.limits = beat.brittle;
+    REQUIRE(beat.brittle.size() == 400);
+    for (const auto& each : beat.brittle)
+        CHECK(each.process >= endpoints - 400);
+    CHECK(encode_heartbeat(beat).size() < 40000);
+}
+
 TEST_CASE("request limits round-trip through heartbeats", "[limits]")
 {
     peer_heartbeat beat;
