Hold room for two requests only within a part of what is left

Callers of a fleet of many hosts saw budgets run dry after all hosts had died at once: 429 to what was owed, though much of the budget was unspent.

Cause: each host held at least room for two of the largest requests of each customer. With 79 hosts and 24 customers that was about half of a budget; what all hosts held when they died with their witnesses counts as spent.

The least holding is now bounded so that those of all hosts together stay within 0.35 of what is undrawn; a request that needs more waits for a draw, as before.

--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -204,7 +204,13 @@
     const auto idle_holding = static_cast<token_count_t>(
         static_cast<double>(std::min(prepaid, left)) * policy.idle_share /
         static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
-    const auto min_target = std::max(idle_holding, 2 * state.largest);
+    // Room for two requests, as long as the holdings of all hosts for them stay
+    // within their share of what is left.
+    const auto fair_share = static_cast<token_count_t>(
+        static_cast<double>(left) * policy.undrawn_share /
+        static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
+    const auto min_target =
+        std::max(idle_holding, std::min(fair_share, 2 * state.largest));
     const auto target =
         std::max(min_target,
                  tokens_for(state.rate, target_seconds(state, left, policy)));
--- a/tests/unit/unit-escrow.cpp
+++ b/tests/unit/unit-escrow.cpp
@@ -203,6 +203,32 @@
     CHECK(middle < policy.max_holding_s);
 }
 
+TEST_CASE(
+    "what all hosts hold for the largest requests stays a part of what is "
+    "left",
+    "[escrow]")
+{
+    constexpr token_count_t largest = 10000;
+    const token_count_t left = GENERATE(0U, 500000U, 3500000U, 90000000U);
+    escrow_policy policy;
+    policy.hosts = GENERATE(9U, 79U, 300U);
+    policy.idle_share = 0;
+    INFO(left << " left, " << policy.hosts << " hosts");
+    wallet_state state;
+    state.rate = 1;
+    state.largest = largest;
+    const auto held =
+        desired_holding(state, left, left, policy, policy.low_watermark);
+    CHECK(held <= 2 * largest);
+    CHECK(static_cast<double>(held * policy.hosts) <=
+          0.35 * static_cast<double>(left));
+    // A request that waits gets what it needs all the same.
+    state.waiting = largest;
+    const auto drawn =
+        desired_holding(state, left, left, policy, policy.low_watermark);
+    CHECK(drawn >= std::min(left, largest));
+}
+
 TEST_CASE("an idle host returns tokens and keeps those in use", "[escrow]")
 {
     escrow_policy policy;
