--- a/cmake/check_boundary.sh
+++ b/cmake/check_boundary.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 status=0
-names='"(Request-Id|Deadline-Ms|Prefix-Hash|Response-Signature|Tenant-Id|Expect-Instance|Replica-Load|Not-Executed|Token-Usage|Request-Priority|Server-Limit|Kv-[A-Z])|api/objects|trafficSplit|pathPrefix|targetLatencyMs|apiKeys|coldRemainingMs|storeRevision|waitMs|rollouts'
+names='"(Request-Id|Deadline-Ms|Prefix-Hash|Response-Signature|Tenant-Id|Expect-Instance|Replica-Load|Not-Executed|Token-Usage|Request-Priority|Server-Limit|Server-Brittle|Kv-[A-Z])|api/objects|trafficSplit|pathPrefix|targetLatencyMs|apiKeys|coldRemainingMs|storeRevision|waitMs|rollouts'
 if grep -rnE "$names" src include --include='*.cpp' --include='*.hpp'; then
     echo "names of the platform's protocol are used outside platform/" >&2
     status=1
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -140,17 +140,13 @@
 asio::awaitable<void> relay_session::pass_to_endpoint()
 {
     std::array<char, read_size> chunk{};
+    // What came with the peer's request.
+    const auto [rest_fault, rest] =
+        co_await asio::async_write(m_link->socket, m_buffer.data(), as_values);
+    if (rest_fault)
+        co_return reset();
     for (;;)
     {
-        std::size_t count = m_buffer.size();
-        if (count != 0)
-        {
-            const auto [fault, written] = co_await asio::async_write(
-                m_link->socket, m_buffer.data(), as_values);
-            m_buffer.consume(count);
-            if (fault)
-                co_return;
-        }
         const auto [read_fault, received] =
             co_await m_peer.async_read_some(asio::buffer(chunk), as_values);
         // The peer closes when it is done or its caller has left.
@@ -161,7 +157,7 @@
         const auto [write_fault, written] = co_await asio::async_write(
             m_link->socket, asio::buffer(chunk.data(), received), as_values);
         if (write_fault)
-            co_return;
+            co_return reset();
     }
 }
 
--- a/src/node/limit_pool.cpp
+++ b/src/node/limit_pool.cpp
@@ -1,6 +1,6 @@
 #include "limit_pool.hpp"
 
-#include <algorithm> // max, min, nth_element
+#include <algorithm> // max, nth_element
 #include <chrono>    // duration_cast, seconds
 #include <utility>   // move
 
@@ -28,6 +28,29 @@
         std::max(now - at, time_point_t::duration::zero()));
 }
 
+/// Age of what was observed last.
+milliseconds newest_age(const shared_limit& limit)
+{
+    auto newest = milliseconds::max();
+    for (const auto& age :
+         {limit.named_age, limit.unnamed_age, limit.rejected_age})
+        if (age && *age < newest)
+            newest = *age;
+    return newest;
+}
+
+void keep_newest(std::vector<shared_limit>& limits)
+{
+    if (limits.size() <= max_shared)
+        return;
+    std::nth_element(limits.begin(), limits.begin() + max_shared, limits.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         return newest_age(left) < newest_age(right);
+                     });
+    limits.resize(max_shared);
+}
+
 } // namespace
 
 limit_pool::limit_pool(std::string host) : m_host(std::move(host))
@@ -81,20 +104,7 @@
             all.push_back({process, limit.per_s, age_of(limit.named_at, now),
                            age_of(limit.unnamed_at, now),
                            age_of(limit.rejected_at, now)});
-    if (all.size() <= max_shared)
-        return all;
-    const auto newest = [](const shared_limit& each)
-    {
-        return std::min({each.named_age.value_or(milliseconds::max()),
-                         each.unnamed_age.value_or(milliseconds::max()),
-                         each.rejected_age.value_or(milliseconds::max())});
-    };
-    std::nth_element(all.begin(), all.begin() + max_shared, all.end(),
-                     [&](const auto& left, const auto& right)
-                     {
-                         return newest(left) < newest(right);
-                     });
-    all.resize(max_shared);
+    keep_newest(all);
     return all;
 }
 
