--- a/tests/integration/integration-partition.cpp
+++ b/tests/integration/integration-partition.cpp
@@ -264,3 +264,42 @@
     INFO("served " << cut.counted()->served << " of " << cut.counted()->sent);
     CHECK(3 * cut.counted()->served >= 2 * cut.counted()->sent);
 }
+
+TEST_CASE("a caller that leaves ends its stream at the endpoint, also through "
+          "another host",
+          "[partition]")
+{
+    divided_site site;
+    callers traffic(site, cut_hosts);
+    REQUIRE(serves(traffic, 30));
+    site.cut("refuse");
+    wait_for_contact();
+    for (int i = 1; i <= 4; ++i)
+        site.set_replica_fault("pool-" + std::to_string(i),
+                               {{"events", 1000}, {"gap_ms", 50}});
+    httplib::Headers headers{{"Host", "a.example"},
+                             {"Request-Id", installation::next_id()},
+                             {"Deadline-Ms", "3000"},
+                             {"Authorization", "Token k2"}};
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/stream/leaving";
+    request.headers = headers;
+    request.content_receiver =
+        [](const char*, std::size_t, std::uint64_t, std::uint64_t)
+    {
+        return false;
+    };
+    auto client = site.caller_client("c1");
+    static_cast<void>(client.send(request));
+    client.stop();
+    CHECK(wait_until(
+        [&]
+        {
+            return !site.runs("/stream/leaving/left").empty();
+        }));
+    // Before the request's time limit, 3 s, would have ended it.
+    const auto begun = site.runs("/stream/leaving").at(0)["at_ms"];
+    const auto left = site.runs("/stream/leaving/left").at(0)["at_ms"];
+    CHECK(left.get<long long>() - begun.get<long long>() < 2000);
+}
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -11,7 +11,7 @@
 // figure away in a second; the end is logged as the event "fall".
 //
 // Each run is logged with its body, headers and the time of the monotonic
-// clock.
+// clock, and so is a stream whose caller has left, as the event "left".
 
 #include <atomic>
 #include <chrono>
@@ -213,8 +213,8 @@
         return true;
     }
 
-    static void stream(const httplib::Request& request,
-                       httplib::Response& response, const faults& active_faults)
+    void stream(const httplib::Request& request, httplib::Response& response,
+                const faults& active_faults)
     {
         int next_event = 1;
         if (request.has_header("Last-Event-Id"))
@@ -223,8 +223,8 @@
         const int first_event = next_event;
         response.set_chunked_content_provider(
             "text/event-stream",
-            [next_event, first_event,
-             active_faults](std::size_t, httplib::DataSink& sink) mutable
+            [this, next_event, first_event, active_faults,
+             path = request.path](std::size_t, httplib::DataSink& sink) mutable
             {
                 if (next_event > active_faults.events)
                 {
@@ -244,7 +244,13 @@
                                    "\ndata: piece" +
                                    std::to_string(next_event) + "\n\n";
                 ++next_event;
-                return sink.write(event.data(), event.size());
+                if (sink.write(event.data(), event.size()))
+                    return true;
+                m_log.append({{"event", "left"},
+                              {"replica", FLAGS_id},
+                              {"path", path + "/left"},
+                              {"at_ms", now_ms()}});
+                return false;
             });
     }
 
