Ask only directly whether an endpoint still serves after an unframed answer

Callers could get half of an answer without a length as whole after a crash.

Cause, of: a refused connection is tried again through another host; that takes up to 1.2 s, in which a crashed endpoint restarts, and then counts as serving. The host now opens a connection of its own only; a cut host takes the answer for broken.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -235,7 +235,7 @@
     m_probe_timer.reset();
     if (m_cancelled)
         co_return endpoint_process::unknown;
-    auto opened = co_await m_directory.open_connection(m_endpoint);
+    auto opened = co_await m_directory.open_direct(m_endpoint);
     if (!opened.link)
         co_return opened.refused ? endpoint_process::ended
                                  : endpoint_process::unknown;
