--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -417,7 +417,7 @@
         co_await refresh(true);
     if (const auto restored = m_view.restored; restored && !outdated())
         co_return co_await repair_account(*restored);
-    if (outdated() || m_budgets.empty())
+    if (outdated())
     {
         if (!m_store_reachable)
             co_return fail_all(std::exchange(m_received, {}));
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -22,6 +22,10 @@
 
 constexpr milliseconds call_timeout{800};
 
+/// Age up to which a hub's sum of the evidence is used; hubs send it twice a
+/// second.
+constexpr milliseconds max_fleet_age{1600};
+
 } // namespace
 
 move_keeper::move_keeper(asio::any_io_executor executor, store_client& store)
@@ -81,6 +85,65 @@
         found->second.peers[peer] = evidence.routes;
 }
 
+void move_keeper::set_foreign_evidence(const std::string& peer,
+                                       const shared_evidence& evidence)
+{
+    const auto found = m_moves.find(evidence.service);
+    if (found != m_moves.end() && found->second.order.target == evidence.target)
+        found->second.foreign[peer] = evidence.routes;
+}
+
+void move_keeper::set_zone_evidence(const std::string& zone,
+                                    const shared_evidence& evidence)
+{
+    const auto found = m_moves.find(evidence.service);
+    if (found != m_moves.end() && found->second.order.target == evidence.target)
+        found->second.zones[zone] = evidence.routes;
+}
+
+void move_keeper::set_fleet_evidence(
+    const std::vector<shared_evidence>& evidence, time_point_t now)
+{
+    for (const auto& each : evidence)
+    {
+        const auto found = m_moves.find(each.service);
+        if (found == m_moves.end() || found->second.order.target != each.target)
+            continue;
+        found->second.fleet = each.routes;
+        found->second.fleet_at = now;
+    }
+}
+
+move_evidence_t move_keeper::pool(const tracked_move& move, bool all_zones)
+{
+    auto pooled = move.evidence;
+    for (const auto& [peer, evidence] : move.peers)
+        merge(pooled, evidence);
+    if (all_zones)
+        for (const auto& [zone, evidence] : move.zones)
+            merge(pooled, evidence);
+    return pooled;
+}
+
+std::vector<shared_evidence> move_keeper::pooled_evidence(bool all_zones) const
+{
+    std::vector<shared_evidence> all;
+    for (const auto& [service, each] : m_moves)
+        if (each.order.state == order_state::running)
+            all.push_back({service, each.order.target, pool(each, all_zones)});
+    return all;
+}
+
+std::vector<shared_evidence> move_keeper::zone_evidence() const
+{
+    return pooled_evidence(false);
+}
+
+std::vector<shared_evidence> move_keeper::fleet_evidence() const
+{
+    return pooled_evidence(true);
+}
+
 std::vector<shared_evidence> move_keeper::evidence() const
 {
     std::vector<shared_evidence> all;
@@ -111,8 +174,10 @@
         each.decayed_at = now;
         if (each.step.state == order_state::running)
         {
-            auto pooled = each.evidence;
-            for (const auto& [peer, evidence] : each.peers)
+            auto pooled = now - each.fleet_at < max_fleet_age
+                              ? each.fleet
+                              : pool(each, true);
+            for (const auto& [peer, evidence] : each.foreign)
                 merge(pooled, evidence);
             each.step = decide_trial(
                 pooled,
--- a/src/node/move_keeper.hpp
+++ b/src/node/move_keeper.hpp
@@ -37,10 +37,29 @@
     /// @brief Adds an attempt to the evidence on its service's move, if any.
     void record_sample(const version_sample& sample);
 
-    /// @brief Replaces a peer's evidence on a move.
+    /// @brief Replaces the evidence of a host that reports to this one.
     void set_peer_evidence(const std::string& peer,
                            const shared_evidence& evidence);
 
+    /// @brief Replaces the evidence of a host that knows no hubs.
+    void set_foreign_evidence(const std::string& peer,
+                              const shared_evidence& evidence);
+
+    /// @brief Replaces the sum of another zone's evidence on a move.
+    void set_zone_evidence(const std::string& zone,
+                           const shared_evidence& evidence);
+
+    /// @brief Replaces the sum of all hosts' evidence, this one's included, as
+    ///        a hub has it.
+    void set_fleet_evidence(const std::vector<shared_evidence>& evidence,
+                            time_point_t now);
+
+    /// @brief Evidence of this host and of those that report to it.
+    std::vector<shared_evidence> zone_evidence() const;
+
+    /// @brief The same with the sums of the other zones.
+    std::vector<shared_evidence> fleet_evidence() const;
+
     /// @brief This host's evidence on the running moves, for its peers.
     std::vector<shared_evidence> evidence() const;
 
@@ -62,12 +81,19 @@
         std::uint64_t era = 0; ///< of the store that had the order
         time_point_t first_seen{};
         time_point_t decayed_at{};
-        move_evidence_t evidence; ///< of this host, decayed
-        std::map<std::string, move_evidence_t> peers;
+        move_evidence_t evidence;                     ///< of this host, decayed
+        std::map<std::string, move_evidence_t> peers; ///< by host
+        std::map<std::string, move_evidence_t> foreign; ///< by host
+        std::map<std::string, move_evidence_t> zones;   ///< sums, by zone
+        move_evidence_t fleet;   ///< sum of all, as a hub has it
+        time_point_t fleet_at{}; ///< when it was received
         trial_step step;
         bool writing = false; ///< a write of the outcome is in flight
     };
 
+    /// Evidence of this host and its peers, and of other zones.
+    static move_evidence_t pool(const tracked_move& move, bool all_zones);
+    std::vector<shared_evidence> pooled_evidence(bool all_zones) const;
     boost::asio::awaitable<void> write_status(std::string service,
                                               move_order order);
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -43,6 +43,14 @@
 /// a peer already has, before it fetches the peer's state.
 constexpr milliseconds peer_fetch_delay{300};
 
+std::uint64_t unix_time_ms()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
 socket_address to_address(const std::string& text)
 {
     auto [ip, port] = split_address(text);
@@ -69,7 +77,15 @@
       m_escrow(loop.get_executor(), m_store, m_witnesses, m_identity,
                make_escrow_listener()),
       m_moves(loop.get_executor(), m_store),
-      m_presence(settings.host),
+      m_members({settings.host,
+                 m_identity.process.incarnation,
+                 settings.zone,
+                 m_peers.address(),
+                 m_identity.capacity,
+                 {},
+                 {},
+                 {}},
+                unix_time_ms(), make_member_callbacks()),
       m_crashes(settings.host),
       m_limits(settings.host),
       m_brittle(settings.host)
@@ -81,7 +97,8 @@
     auto listener = m_traffic.escrow;
     listener.account_read = [this](const escrow_book& book)
     {
-        apply_hosts(book);
+        m_members.introduce(book);
+        publish_hosts();
     };
     listener.send_change =
         [this](const std::string& address, const account_change& change)
@@ -102,7 +119,7 @@
     callbacks.send =
         [this](const std::string& host, const witness_message& message)
     {
-        m_peers.send(host, message);
+        m_peers.send(m_members.address_of(host), message);
     };
     callbacks.ceiling_confirmed = [this]
     {
@@ -114,9 +131,9 @@
 peer_listener node_control::make_peer_listener()
 {
     peer_listener listener;
-    listener.current_heartbeat = [this]
+    listener.heartbeat_due = [this]
     {
-        return make_heartbeat();
+        m_members.send_reports();
     };
     listener.current_state = [this]
     {
@@ -124,7 +141,19 @@
     };
     listener.heartbeat_received = [this](const peer_heartbeat& heartbeat)
     {
-        handle_heartbeat(heartbeat);
+        m_members.handle_heartbeat(heartbeat);
+        compare_state(heartbeat);
+    };
+    listener.news_received = [this](const peer_news& news)
+    {
+        m_members.handle_news(news);
+        if (news.sender.zone == m_settings.zone && news.hub)
+            m_moves.set_fleet_evidence(news.evidence,
+                                       time_point_t::clock::now());
+        else
+            for (const auto& each : news.evidence)
+                m_moves.set_zone_evidence(news.sender.zone, each);
+        compare_state(news.sender);
     };
     listener.witness_message_received = [this](const witness_message& message)
     {
@@ -145,6 +174,43 @@
     return listener;
 }
 
+member_callbacks node_control::make_member_callbacks()
+{
+    member_callbacks callbacks;
+    callbacks.current_heartbeat = [this]
+    {
+        return make_heartbeat();
+    };
+    callbacks.reported =
+        [this](const peer_heartbeat& heartbeat, time_point_t made_at)
+    {
+        apply_report(heartbeat, made_at);
+    };
+    callbacks.zone_evidence = [this]
+    {
+        return m_moves.zone_evidence();
+    };
+    callbacks.fleet_evidence = [this]
+    {
+        return m_moves.fleet_evidence();
+    };
+    callbacks.send =
+        [this](const socket_address& address, const std::string& bytes)
+    {
+        m_peers.send_bytes(address, bytes);
+    };
+    callbacks.now = &time_point_t::clock::now;
+    callbacks.hasten = [this]
+    {
+        m_peers.hasten_heartbeat();
+    };
+    callbacks.request_state = [this](const std::string& host)
+    {
+        m_peers.request_state(m_members.address_of(host));
+    };
+    return callbacks;
+}
+
 void node_control::start()
 {
     spawn(m_loop,
@@ -346,22 +412,12 @@
     m_traffic.publish_view(std::move(view));
 }
 
-void node_control::apply_hosts(const escrow_book& book)
+void node_control::publish_hosts()
 {
-    std::map<std::string, socket_address> peers;
-    std::set<std::string> ips;
-    m_peer_hosts.clear();
-    for (const auto& [host, holding] : book.hosts)
-    {
-        const auto address = to_address(holding.address);
-        peers[host] = address;
-        ips.insert(address.ip);
-        m_peer_hosts[host] = {host, address, holding.zone == m_settings.zone};
-    }
-    m_peers.set_peers(peers);
-    if (m_host_count == book.hosts.size() && ips == m_host_ips)
+    auto ips = m_members.ips();
+    if (m_host_count == m_members.size() && ips == m_host_ips)
         return;
-    m_host_count = book.hosts.size();
+    m_host_count = m_members.size();
     m_host_ips = std::move(ips);
     publish();
 }
@@ -407,40 +463,55 @@
         if (!known.gone)
             state.endpoints.push_back(known.entry);
     state.moves = m_moves.moves(time_point_t::clock::now());
+    state.reports = m_members.shared_reports();
     return state;
 }
 
-void node_control::handle_heartbeat(const peer_heartbeat& heartbeat)
+void node_control::apply_report(const peer_heartbeat& heartbeat,
+                                time_point_t made_at)
 {
     const auto now = time_point_t::clock::now();
-    m_witnesses.record_heartbeat({heartbeat.host, heartbeat.incarnation});
-    m_escrow.record_heartbeat(heartbeat.host, heartbeat.can_write);
     for (const auto& each : heartbeat.evidence)
-        m_moves.set_peer_evidence(heartbeat.host, each);
-    m_presence.record(heartbeat.host, now);
-    m_presence.record_relay(heartbeat.host, heartbeat.relay_port);
-    publish_relays(now);
-    m_crashes.merge(heartbeat.crashes, now);
+        if (heartbeat.started == 0)
+            m_moves.set_foreign_evidence(heartbeat.host, each);
+        else
+            m_moves.set_peer_evidence(heartbeat.host, each);
+    m_crashes.merge(heartbeat.crashes, made_at);
     publish_crashes(now);
-    m_limits.merge(heartbeat.limits, now);
-    m_brittle.merge(heartbeat.brittle, now);
+    m_limits.merge(heartbeat.limits, made_at);
+    m_brittle.merge(heartbeat.brittle, made_at);
     publish_limits(now);
+}
+
+void node_control::record_live_hosts(time_point_t now)
+{
+    for (const auto* const each : m_members.live_reports(now))
+    {
+        m_witnesses.record_heartbeat({each->host, each->incarnation});
+        m_escrow.record_heartbeat(each->host, each->can_write);
+    }
+}
+
+void node_control::compare_state(const peer_heartbeat& heartbeat)
+{
+    const auto now = time_point_t::clock::now();
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
     {
         if (m_behind_since == time_point_t{})
             m_behind_since = now;
         if (now - m_behind_since >= peer_fetch_delay)
-            m_peers.request_state(heartbeat.host);
+            m_peers.request_state(m_members.address_of(heartbeat.host));
     }
     else if (heartbeat.fresh && !store_is_current(now) &&
              heartbeat.state_digest != state_digest())
-        m_peers.request_state(heartbeat.host);
+        m_peers.request_state(m_members.address_of(heartbeat.host));
 }
 
 void node_control::apply_peer_state(const peer_state& state)
 {
     const auto now = time_point_t::clock::now();
+    m_members.merge_reports(state.reports);
     if (!state.configuration.empty() &&
         (!m_configuration || state.version > m_configuration->version))
         apply_configuration(state.configuration);
@@ -481,7 +552,7 @@
 
 bool node_control::publish_limits(time_point_t now)
 {
-    auto shares = m_limits.shares(m_presence.live_hosts(now), m_host_count);
+    auto shares = m_limits.shares(m_members.live_hosts(now), m_host_count);
     auto slots = share_slots(now);
     if (shares == m_published_shares && slots == m_published_slots)
         return false;
@@ -504,7 +575,7 @@
     for (const auto& [service, endpoints] : offers)
         for (const auto& [process, slots] :
              share_of_slots(endpoints, m_settings.host,
-                            m_presence.live_hosts(now), m_host_count))
+                            m_members.live_hosts(now), m_host_count))
         {
             const auto& limit = limits.at(process);
             shares[process] = {slots, limit.per_s, limit.rejected_at};
@@ -521,13 +592,14 @@
 void node_control::publish_relays(time_point_t now)
 {
     std::vector<relay_host> relays;
-    for (const auto& [host, port] : m_presence.relays(now))
+    for (const auto* const each : m_members.live_reports(now))
     {
-        const auto found = m_peer_hosts.find(host);
-        if (found == m_peer_hosts.end() || host == m_settings.host)
+        if (each->relay_port == 0)
             continue;
-        relays.push_back(found->second);
-        relays.back().address.port = port;
+        const auto address = m_members.address_of(each->host);
+        relays.push_back({each->host,
+                          {address.ip, each->relay_port},
+                          m_members.zone_of(each->host) == m_settings.zone});
     }
     if (relays == m_published_relays)
         return;
@@ -547,7 +619,7 @@
 void node_control::publish_crashes(time_point_t now)
 {
     auto suspects = m_crashes.suspected();
-    auto quarantine = m_crashes.quarantined(m_presence.live_hosts(now), now);
+    auto quarantine = m_crashes.quarantined(m_members.live_hosts(now), now);
     // A suspect that has been cleared meanwhile does no harm in the view.
     if (quarantine == m_published_quarantine &&
         suspects.empty() == m_published_suspects.empty() &&
@@ -603,12 +675,16 @@
         {
             next_log = now + log_interval;
             m_escrow.log_calls();
+            m_members.log_counts();
             spdlog::info("event=store_calls list={} watch={} budget={} move={}",
                          m_store.calls(call_purpose::list),
                          m_store.calls(call_purpose::watch),
                          m_store.calls(call_purpose::budget),
                          m_store.calls(call_purpose::move));
         }
+        m_members.tick();
+        record_live_hosts(now);
+        publish_hosts();
         m_moves.tick(now);
         m_crashes.update(now);
         publish_crashes(now);
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -21,8 +21,8 @@
 #include "crash_pool.hpp"                 // crash_pool
 #include "escrow_keeper.hpp"              // escrow_keeper
 #include "limit_pool.hpp"                 // limit_pool
+#include "member_keeper.hpp"              // member_keeper
 #include "move_keeper.hpp"                // move_keeper
-#include "peer_presence.hpp"              // peer_presence
 #include "witness_keeper.hpp"             // witness_keeper
 
 namespace rhubarbgrade
@@ -97,8 +97,15 @@
     /// Logs that an endpoint's entry names none, once for each state of it.
     void report_unusable(const platform::stored_object& object,
                          const error& fault);
-    void apply_hosts(const escrow_book& book);
-    void handle_heartbeat(const peer_heartbeat& heartbeat);
+    member_callbacks make_member_callbacks();
+    /// Handles what a host says of itself, at first or second hand.
+    void apply_report(const peer_heartbeat& heartbeat, time_point_t made_at);
+    /// Tells who may be a witness or a writer of the account.
+    void record_live_hosts(time_point_t now);
+    /// Compares a host's state with the own one; requests it if it is newer.
+    void compare_state(const peer_heartbeat& heartbeat);
+    /// Publishes the hosts if they have changed.
+    void publish_hosts();
     void apply_peer_state(const peer_state& state);
     void record_store_answer(bool answered);
     bool store_is_current(time_point_t now) const;
@@ -128,7 +135,7 @@
     witness_keeper m_witnesses;
     escrow_keeper m_escrow;
     move_keeper m_moves;
-    peer_presence m_presence;
+    member_keeper m_members;
     crash_pool m_crashes;
     limit_pool m_limits;
     limit_pool m_brittle; ///< rejections that endpoints survive
@@ -144,8 +151,7 @@
     std::map<std::uint64_t, slot_share> m_published_slots;
     std::vector<relay_host> m_published_relays;
     std::set<std::string> m_host_ips;
-    std::map<std::string, relay_host> m_peer_hosts; ///< without a relay port
-    std::uint16_t m_relay_port = 0;                 ///< of this host
+    std::uint16_t m_relay_port = 0; ///< of this host
     std::size_t m_host_count = assumed_host_count;
     time_point_t m_store_answered_at{}; ///< last response of the store
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -31,7 +31,8 @@
 constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
 
 /// A new configuration and a version that fails its trial must be known to all
-/// hosts within 2 s, even if one or two heartbeats are lost.
+/// hosts within 2 s, even if one or two heartbeats are lost; they pass through
+/// two hubs.
 constexpr milliseconds heartbeat_period{500};
 
 /// Time from an event that peers must know at once to the heartbeat.
@@ -80,13 +81,6 @@
     spawn(m_loop, accept_state_requests(), "state requests of peers");
 }
 
-void peer_exchange::set_peers(
-    const std::map<std::string, socket_address>& peers)
-{
-    m_peers = peers;
-    m_peers.erase(m_settings.host);
-}
-
 asio::awaitable<void> peer_exchange::send_heartbeats()
 {
     for (;;)
@@ -100,28 +94,14 @@
             co_await m_heartbeat_timer.async_wait(as_values);
             m_heartbeat_hastened = false;
         }
-        if (m_peers.empty())
-            continue;
-        const auto bytes = encode_heartbeat(m_listener.current_heartbeat());
-        for (const auto& [host, address] : m_peers)
-        {
-            const auto to = to_endpoint(address);
-            if (!to || bytes.size() > max_datagram_bytes)
-                continue;
-            boost::system::error_code ignored; // heartbeats may be lost
-            m_socket.send_to(asio::buffer(bytes), {to->address(), to->port()},
-                             0, ignored);
-        }
+        m_listener.heartbeat_due();
     }
 }
 
-void peer_exchange::send(const std::string& host,
+void peer_exchange::send(const socket_address& address,
                          const witness_message& message)
 {
-    const auto found = m_peers.find(host);
-    if (found == m_peers.end())
-        return;
-    send_bytes(found->second, encode_witness(message));
+    send_bytes(address, encode_witness(message));
 }
 
 void peer_exchange::send(const socket_address& address,
@@ -140,8 +120,15 @@
                                const std::string& bytes)
 {
     const auto to = to_endpoint(address);
-    if (!to || bytes.size() > max_datagram_bytes)
+    if (!to)
         return;
+    if (bytes.size() > max_datagram_bytes)
+    {
+        spdlog::error("event=datagram_too_large peer={}:{} bytes={} most={}",
+                      address.ip, address.port, bytes.size(),
+                      max_datagram_bytes);
+        return;
+    }
     boost::system::error_code ignored; // the sender retries until answered
     m_socket.send_to(asio::buffer(bytes), {to->address(), to->port()}, 0,
                      ignored);
@@ -156,6 +143,8 @@
         return m_listener.change_received(*change);
     if (const auto* const reply = std::get_if<account_answer>(&datagram))
         return m_listener.answer_received(*reply);
+    if (const auto* const news = std::get_if<peer_news>(&datagram))
+        return m_listener.news_received(*news);
     const auto answer = m_listener.witness_message_received(
         std::get<witness_message>(datagram));
     if (!answer)
@@ -190,13 +179,12 @@
     m_heartbeat_timer.cancel();
 }
 
-void peer_exchange::request_state(const std::string& host)
+void peer_exchange::request_state(const socket_address& address)
 {
-    const auto found = m_peers.find(host);
-    if (found == m_peers.end() || m_fetching)
+    if (m_fetching || address.port == 0)
         return;
     m_fetching = true;
-    spawn(m_loop, fetch_state(found->second), "state request to a peer");
+    spawn(m_loop, fetch_state(address), "state request to a peer");
 }
 
 asio::awaitable<void> peer_exchange::fetch_state(socket_address address)
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -2,7 +2,6 @@
 
 #include <cstdint>    // uint64_t
 #include <functional> // function
-#include <map>        // map
 #include <memory>     // shared_ptr
 #include <optional>   // optional
 #include <string>     // string
@@ -27,10 +26,13 @@
 struct peer_listener
 {
     /// Returns the heartbeat to send now.
-    std::function<peer_heartbeat()> current_heartbeat;
+    /// Called periodically, to send this host's heartbeat and what it passes
+    /// on.
+    std::function<void()> heartbeat_due;
     /// Returns the state to send to a peer that requests it.
     std::function<peer_state()> current_state;
     std::function<void(const peer_heartbeat&)> heartbeat_received;
+    std::function<void(const peer_news&)> news_received;
     /// Handles a request or a confirmation of a spending ceiling.
     /// @return the answer to send, if there is one
     std::function<std::optional<witness_message>(const witness_message&)>
@@ -44,10 +46,10 @@
 
 /// @brief Communication between the hosts of the fleet.
 ///
-/// Each host sends heartbeats to all others as UDP datagrams, and serves its
-/// whole state over HTTP on the same port. A host requests a peer's state only
-/// when a heartbeat shows data that it has not received from the store itself.
-/// All members run on the control thread.
+/// Hosts exchange UDP datagrams, and each serves its whole state over HTTP on
+/// the same port; who sends to whom is decided by @ref member_keeper. A host
+/// requests a peer's state only when a heartbeat shows data that it has not
+/// received from the store itself. All members run on the control thread.
 class peer_exchange
 {
 public:
@@ -64,28 +66,25 @@
     ///        in the settings.
     socket_address address() const;
 
-    /// @brief Sets the addresses of all hosts, by name; this host's own entry
-    ///        is ignored.
-    void set_peers(const std::map<std::string, socket_address>& peers);
-
-    /// @brief Sends a message to a host, without retries.
-    void send(const std::string& host, const witness_message& message);
-
-    /// @brief Sends a change of the escrow account, or the answer to one, to an
-    ///        address, without retries.
+    /// @brief Sends a message to an address, without retries.
+    void send(const socket_address& address, const witness_message& message);
     void send(const socket_address& address, const account_change& change);
     void send(const socket_address& address, const account_answer& answer);
 
+    /// @brief Sends an encoded datagram, without retries. One that is too large
+    ///        is dropped and logged.
+    void send_bytes(const socket_address& address, const std::string& bytes);
+
     /// @brief Sends the next heartbeat soon instead of at its time.
     void hasten_heartbeat();
 
-    /// @brief Requests a host's state, unless a request to any host is in
+    /// @brief Requests the state of the host at an address, unless a request to
+    /// any host is in
     ///        progress. On failure nothing is reported; the next heartbeat
     ///        triggers a new request.
-    void request_state(const std::string& host);
+    void request_state(const socket_address& address);
 
 private:
-    void send_bytes(const socket_address& address, const std::string& bytes);
     boost::asio::awaitable<void> send_heartbeats();
     boost::asio::awaitable<void> receive_datagrams();
     void handle_datagram(const peer_datagram_t& datagram,
@@ -101,7 +100,6 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_heartbeat_timer;
-    std::map<std::string, socket_address> m_peers;
     bool m_fetching = false; ///< a state request is in progress
     bool m_heartbeat_hastened = false;
 };
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -74,6 +74,40 @@
   limits @9 :List(RequestLimit);
   brittle @11 :List(RequestLimit); # of requests that endpoints can turn away
   relayPort @10 :UInt16;     # passes connections on to endpoints; 0: does not
+  # Set by hosts that report to hubs; started is 0 in those of earlier versions.
+  started @12 :UInt64;       # of the process, Unix time in ms
+  sequence @13 :UInt64;      # of the report
+  address @14 :Text;         # "ip:port" for peers
+  zone @15 :Text;
+  capacity @16 :Float64;
+  asksHub @17 :Bool;         # the sender takes the receiver for a hub
+}
+
+# A host's report as others pass it on.
+struct Report {
+  beat @0 :Data;             # a Datagram with the host's Beat, as it made it
+  ageMs @1 :UInt32;
+  down @2 :Bool;             # declared down by a hub of its zone
+}
+
+# When a hub last heard of a zone.
+struct ZoneContact {
+  zone @0 :Text;
+  ageMs @1 :UInt32;
+}
+
+# What a host passes on of others.
+struct News {
+  sender @0 :Beat;
+  hub @1 :Bool;              # the sender acts as hub
+  reports @2 :List(Report);
+  digest @3 :UInt64;         # hash of the versions of all reports
+  zones @4 :List(ZoneContact);
+  # Sums over the hosts of the sender's zone, for hubs of other zones; over all
+  # zones, for hosts of its own.
+  evidence @5 :List(MoveEvidence);
+  # News comes in parts if it is long; the last one completes it.
+  complete @6 :Bool;
 }
 
 # One run of a host's process; each start has a new incarnation.
@@ -162,6 +196,7 @@
     witness @1 :Witness;
     change @2 :Change;
     answer @3 :Answer;
+    news @4 :News;           # to hosts only whose Beat has "started"
   }
 }
 
@@ -193,4 +228,5 @@
   version @1 :UInt64;
   endpoints @2 :List(Endpoint);
   moves @3 :List(Move);
+  reports @4 :List(Report);
 }
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -24,6 +24,9 @@
 CAPNP_DECLARE_SCHEMA(a5b7944dda38c937);
 CAPNP_DECLARE_SCHEMA(cfcfe6e90e6a56a7);
 CAPNP_DECLARE_SCHEMA(feb5e87063845c5c);
+CAPNP_DECLARE_SCHEMA(d119b18f8e63430c);
+CAPNP_DECLARE_SCHEMA(8ebd19b3eac80610);
+CAPNP_DECLARE_SCHEMA(9d987bbd9ae6804e);
 CAPNP_DECLARE_SCHEMA(af4f3e7e93d9b8eb);
 CAPNP_DECLARE_SCHEMA(db60faeca94cec2c);
 CAPNP_DECLARE_SCHEMA(9a92a7cf05cb0dcc);
@@ -164,7 +167,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 6, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d119b18f8e63430c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ZoneContact {
+  ZoneContact() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ebd19b3eac80610, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct News {
+  News() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d987bbd9ae6804e, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -304,6 +352,7 @@
     WITNESS,
     CHANGE,
     ANSWER,
+    NEWS,
   };
 
   struct _capnpPrivate {
@@ -352,7 +401,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a37b49712a7118a8, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a37b49712a7118a8, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1090,6 +1139,20 @@
   inline bool hasBrittle() const;
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader getBrittle() const;
 
+  inline  ::uint64_t getStarted() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline double getCapacity() const;
+
+  inline bool getAsksHub() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1182,6 +1245,32 @@
   inline void adoptBrittle(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> disownBrittle();
 
+  inline  ::uint64_t getStarted();
+  inline void setStarted( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline double getCapacity();
+  inline void setCapacity(double value);
+
+  inline bool getAsksHub();
+  inline void setAsksHub(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1208,9 +1297,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Process::Reader {
+class Report::Reader {
 public:
-  typedef Process Reads;
+  typedef Report Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1225,11 +1314,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+  inline bool hasBeat() const;
+  inline  ::capnp::Data::Reader getBeat() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getDown() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1243,9 +1333,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Process::Builder {
+class Report::Builder {
 public:
-  typedef Process Builds;
+  typedef Report Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1259,19 +1349,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+  inline bool hasBeat();
+  inline  ::capnp::Data::Builder getBeat();
+  inline void setBeat( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBeat(unsigned int size);
+  inline void adoptBeat(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBeat();
 
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getDown();
+  inline void setDown(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1283,9 +1372,9 @@
 };
 
 #if !CAPNP_LITE
-class Process::Pipeline {
+class Report::Pipeline {
 public:
-  typedef Process Pipelines;
+  typedef Report Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1299,9 +1388,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Ceiling::Reader {
+class ZoneContact::Reader {
 public:
-  typedef Ceiling Reads;
+  typedef ZoneContact Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1316,10 +1405,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-  inline  ::uint64_t getTokens() const;
+  inline  ::uint32_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1333,9 +1422,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Ceiling::Builder {
+class ZoneContact::Builder {
 public:
-  typedef Ceiling Builds;
+  typedef ZoneContact Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1349,15 +1438,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-  inline  ::uint64_t getTokens();
-  inline void setTokens( ::uint64_t value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1369,9 +1458,9 @@
 };
 
 #if !CAPNP_LITE
-class Ceiling::Pipeline {
+class ZoneContact::Pipeline {
 public:
-  typedef Ceiling Pipelines;
+  typedef ZoneContact Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1385,9 +1474,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Witness::Reader {
+class News::Reader {
 public:
-  typedef Witness Reads;
+  typedef News Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1402,16 +1491,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner() const;
-  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
+  inline bool hasSender() const;
+  inline  ::rhubarbgrade::peer_protocol::Beat::Reader getSender() const;
 
-  inline bool hasWitness() const;
-  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
+  inline bool getHub() const;
 
-  inline bool hasCeilings() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader getCeilings() const;
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
-  inline bool getConfirmed() const;
+  inline  ::uint64_t getDigest() const;
+
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Reader getZones() const;
+
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
+
+  inline bool getComplete() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1425,9 +1521,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Witness::Builder {
+class News::Builder {
 public:
-  typedef Witness Builds;
+  typedef News Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1441,29 +1537,42 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner();
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
-  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
-  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
-
-  inline bool hasWitness();
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
-  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
-  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
+  inline bool hasSender();
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder getSender();
+  inline void setSender( ::rhubarbgrade::peer_protocol::Beat::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> disownSender();
+
+  inline bool getHub();
+  inline void setHub(bool value);
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>> disownReports();
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline bool hasZones();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Builder getZones();
+  inline void setZones( ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>> disownZones();
 
-  inline bool hasCeilings();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder getCeilings();
-  inline void setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder initCeilings(unsigned int size);
-  inline void adoptCeilings(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>> disownCeilings();
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
 
-  inline bool getConfirmed();
-  inline void setConfirmed(bool value);
+  inline bool getComplete();
+  inline void setComplete(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1475,16 +1584,15 @@
 };
 
 #if !CAPNP_LITE
-class Witness::Pipeline {
+class News::Pipeline {
 public:
-  typedef Witness Pipelines;
+  typedef News Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
-  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
+  inline  ::rhubarbgrade::peer_protocol::Beat::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1493,9 +1601,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Tokens::Reader {
+class Process::Reader {
 public:
-  typedef Tokens Reads;
+  typedef Process Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1510,10 +1618,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline  ::uint64_t getTokens() const;
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1527,9 +1636,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Tokens::Builder {
+class Process::Builder {
 public:
-  typedef Tokens Builds;
+  typedef Process Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1543,15 +1652,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline  ::uint64_t getTokens();
-  inline void setTokens( ::uint64_t value);
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1563,9 +1676,9 @@
 };
 
 #if !CAPNP_LITE
-class Tokens::Pipeline {
+class Process::Pipeline {
 public:
-  typedef Tokens Pipelines;
+  typedef Process Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1579,9 +1692,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Closed::Reader {
+class Ceiling::Reader {
 public:
-  typedef Closed Reads;
+  typedef Ceiling Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1596,11 +1709,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner() const;
-  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline bool hasCeilings() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getCeilings() const;
+  inline  ::uint64_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1614,9 +1726,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Closed::Builder {
+class Ceiling::Builder {
 public:
-  typedef Closed Builds;
+  typedef Ceiling Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1630,19 +1742,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner();
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
-  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
-  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  inline bool hasCeilings();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getCeilings();
-  inline void setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initCeilings(unsigned int size);
-  inline void adoptCeilings(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownCeilings();
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1654,15 +1762,14 @@
 };
 
 #if !CAPNP_LITE
-class Closed::Pipeline {
+class Ceiling::Pipeline {
 public:
-  typedef Closed Pipelines;
+  typedef Ceiling Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1671,9 +1778,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Change::Reader {
+class Witness::Reader {
 public:
-  typedef Change Reads;
+  typedef Witness Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1691,34 +1798,13 @@
   inline bool hasOwner() const;
   inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline double getCapacity() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasReplaces() const;
-  inline  ::capnp::Text::Reader getReplaces() const;
-
   inline bool hasWitness() const;
   inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
 
-  inline bool hasDrawn() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
-
-  inline bool hasUsed() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getUsed() const;
-
-  inline bool hasClosed() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader getClosed() const;
-
-  inline bool getUrgent() const;
+  inline bool hasCeilings() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader getCeilings() const;
 
-  inline  ::uint64_t getDeclares() const;
+  inline bool getConfirmed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1732,9 +1818,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Change::Builder {
+class Witness::Builder {
 public:
-  typedef Change Builds;
+  typedef Witness Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1755,33 +1841,6 @@
   inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
   inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline double getCapacity();
-  inline void setCapacity(double value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasReplaces();
-  inline  ::capnp::Text::Builder getReplaces();
-  inline void setReplaces( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReplaces(unsigned int size);
-  inline void adoptReplaces(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReplaces();
-
   inline bool hasWitness();
   inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
   inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
@@ -1789,32 +1848,15 @@
   inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
   inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
 
-  inline bool hasDrawn();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
-  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
-  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
-
-  inline bool hasUsed();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getUsed();
-  inline void setUsed( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initUsed(unsigned int size);
-  inline void adoptUsed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownUsed();
-
-  inline bool hasClosed();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder getClosed();
-  inline void setClosed( ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder initClosed(unsigned int size);
-  inline void adoptClosed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>> disownClosed();
-
-  inline bool getUrgent();
-  inline void setUrgent(bool value);
+  inline bool hasCeilings();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder getCeilings();
+  inline void setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>::Builder initCeilings(unsigned int size);
+  inline void adoptCeilings(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Ceiling,  ::capnp::Kind::STRUCT>> disownCeilings();
 
-  inline  ::uint64_t getDeclares();
-  inline void setDeclares( ::uint64_t value);
+  inline bool getConfirmed();
+  inline void setConfirmed(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1826,9 +1868,9 @@
 };
 
 #if !CAPNP_LITE
-class Change::Pipeline {
+class Witness::Pipeline {
 public:
-  typedef Change Pipelines;
+  typedef Witness Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1844,9 +1886,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Total::Reader {
+class Tokens::Reader {
 public:
-  typedef Total Reads;
+  typedef Tokens Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1864,9 +1906,7 @@
   inline bool hasCustomer() const;
   inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline  ::uint64_t getDrawn() const;
-
-  inline  ::uint64_t getUsed() const;
+  inline  ::uint64_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1880,9 +1920,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Total::Builder {
+class Tokens::Builder {
 public:
-  typedef Total Builds;
+  typedef Tokens Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1903,11 +1943,8 @@
   inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  inline  ::uint64_t getDrawn();
-  inline void setDrawn( ::uint64_t value);
-
-  inline  ::uint64_t getUsed();
-  inline void setUsed( ::uint64_t value);
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1919,9 +1956,9 @@
 };
 
 #if !CAPNP_LITE
-class Total::Pipeline {
+class Tokens::Pipeline {
 public:
-  typedef Total Pipelines;
+  typedef Tokens Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1935,9 +1972,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Answer::Reader {
+class Closed::Reader {
 public:
-  typedef Answer Reads;
+  typedef Closed Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1955,27 +1992,8 @@
   inline bool hasOwner() const;
   inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
 
-  inline  ::uint64_t getSequence() const;
-
-  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline bool hasWitness() const;
-  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
-
-  inline bool hasDrawn() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
-
-  inline bool hasTotals() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader getTotals() const;
-
-  inline bool hasWriter() const;
-  inline  ::capnp::Text::Reader getWriter() const;
-
-  inline  ::uint32_t getHosts() const;
-
-  inline  ::uint64_t getEra() const;
+  inline bool hasCeilings() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getCeilings() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1989,9 +2007,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Answer::Builder {
+class Closed::Builder {
 public:
-  typedef Answer Builds;
+  typedef Closed Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2012,48 +2030,12 @@
   inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
   inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult();
-  inline void setResult( ::rhubarbgrade::peer_protocol::ChangeResult value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline bool hasWitness();
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
-  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
-  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
-
-  inline bool hasDrawn();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
-  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
-  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
-
-  inline bool hasTotals();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder getTotals();
-  inline void setTotals( ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder initTotals(unsigned int size);
-  inline void adoptTotals(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>> disownTotals();
-
-  inline bool hasWriter();
-  inline  ::capnp::Text::Builder getWriter();
-  inline void setWriter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWriter(unsigned int size);
-  inline void adoptWriter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWriter();
-
-  inline  ::uint32_t getHosts();
-  inline void setHosts( ::uint32_t value);
-
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline bool hasCeilings();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getCeilings();
+  inline void setCeilings( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initCeilings(unsigned int size);
+  inline void adoptCeilings(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownCeilings();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2065,16 +2047,15 @@
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline {
+class Closed::Pipeline {
 public:
-  typedef Answer Pipelines;
+  typedef Closed Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
-  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2083,9 +2064,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class Change::Reader {
 public:
-  typedef Datagram Reads;
+  typedef Change Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2100,22 +2081,37 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isBeat() const;
-  inline bool hasBeat() const;
-  inline  ::rhubarbgrade::peer_protocol::Beat::Reader getBeat() const;
+  inline bool hasOwner() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline double getCapacity() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasReplaces() const;
+  inline  ::capnp::Text::Reader getReplaces() const;
 
-  inline bool isWitness() const;
   inline bool hasWitness() const;
-  inline  ::rhubarbgrade::peer_protocol::Witness::Reader getWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
 
-  inline bool isChange() const;
-  inline bool hasChange() const;
-  inline  ::rhubarbgrade::peer_protocol::Change::Reader getChange() const;
+  inline bool hasDrawn() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
 
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::rhubarbgrade::peer_protocol::Answer::Reader getAnswer() const;
+  inline bool hasUsed() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getUsed() const;
+
+  inline bool hasClosed() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader getClosed() const;
+
+  inline bool getUrgent() const;
+
+  inline  ::uint64_t getDeclares() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2129,9 +2125,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class Change::Builder {
 public:
-  typedef Datagram Builds;
+  typedef Change Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2145,38 +2141,73 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isBeat();
-  inline bool hasBeat();
-  inline  ::rhubarbgrade::peer_protocol::Beat::Builder getBeat();
-  inline void setBeat( ::rhubarbgrade::peer_protocol::Beat::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Beat::Builder initBeat();
-  inline void adoptBeat(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> disownBeat();
+  inline bool hasOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
+  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline double getCapacity();
+  inline void setCapacity(double value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasReplaces();
+  inline  ::capnp::Text::Builder getReplaces();
+  inline void setReplaces( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplaces(unsigned int size);
+  inline void adoptReplaces(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplaces();
 
-  inline bool isWitness();
   inline bool hasWitness();
-  inline  ::rhubarbgrade::peer_protocol::Witness::Builder getWitness();
-  inline void setWitness( ::rhubarbgrade::peer_protocol::Witness::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Witness::Builder initWitness();
-  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness> disownWitness();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
 
-  inline bool isChange();
-  inline bool hasChange();
-  inline  ::rhubarbgrade::peer_protocol::Change::Builder getChange();
-  inline void setChange( ::rhubarbgrade::peer_protocol::Change::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Change::Builder initChange();
-  inline void adoptChange(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change> disownChange();
+  inline bool hasDrawn();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
+  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
+  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
 
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::rhubarbgrade::peer_protocol::Answer::Builder getAnswer();
-  inline void setAnswer( ::rhubarbgrade::peer_protocol::Answer::Reader value);
-  inline  ::rhubarbgrade::peer_protocol::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer>&& value);
-  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer> disownAnswer();
+  inline bool hasUsed();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getUsed();
+  inline void setUsed( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initUsed(unsigned int size);
+  inline void adoptUsed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownUsed();
+
+  inline bool hasClosed();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder getClosed();
+  inline void setClosed( ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>::Builder initClosed(unsigned int size);
+  inline void adoptClosed(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Closed,  ::capnp::Kind::STRUCT>> disownClosed();
+
+  inline bool getUrgent();
+  inline void setUrgent(bool value);
+
+  inline  ::uint64_t getDeclares();
+  inline void setDeclares( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2188,14 +2219,16 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class Change::Pipeline {
 public:
-  typedef Datagram Pipelines;
+  typedef Change Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2204,9 +2237,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Endpoint::Reader {
+class Total::Reader {
 public:
-  typedef Endpoint Reads;
+  typedef Total Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2221,28 +2254,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasIp() const;
-  inline  ::capnp::Text::Reader getIp() const;
-
-  inline  ::uint16_t getPort() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
-
-  inline  ::uint32_t getSlots() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline  ::uint64_t getStarted() const;
+  inline  ::uint64_t getDrawn() const;
 
-  inline bool getLeaving() const;
+  inline  ::uint64_t getUsed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2256,9 +2273,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Endpoint::Builder {
+class Total::Builder {
 public:
-  typedef Endpoint Builds;
+  typedef Total Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2272,52 +2289,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasIp();
-  inline  ::capnp::Text::Builder getIp();
-  inline void setIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIp(unsigned int size);
-  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIp();
-
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
-
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  inline  ::uint64_t getStarted();
-  inline void setStarted( ::uint64_t value);
+  inline  ::uint64_t getDrawn();
+  inline void setDrawn( ::uint64_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline  ::uint64_t getUsed();
+  inline void setUsed( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2329,9 +2312,9 @@
 };
 
 #if !CAPNP_LITE
-class Endpoint::Pipeline {
+class Total::Pipeline {
 public:
-  typedef Endpoint Pipelines;
+  typedef Total Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2345,9 +2328,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Move::Reader {
+class Answer::Reader {
 public:
-  typedef Move Reads;
+  typedef Answer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2362,21 +2345,30 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool hasOwner() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getOwner() const;
 
-  inline  ::int64_t getLimitMs() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint8_t getState() const;
+  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult() const;
 
   inline  ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getCreated() const;
+  inline bool hasWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Process::Reader getWitness() const;
 
-  inline  ::int64_t getElapsedMs() const;
+  inline bool hasDrawn() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader getDrawn() const;
+
+  inline bool hasTotals() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader getTotals() const;
+
+  inline bool hasWriter() const;
+  inline  ::capnp::Text::Reader getWriter() const;
+
+  inline  ::uint32_t getHosts() const;
+
+  inline  ::uint64_t getEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2390,9 +2382,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Move::Builder {
+class Answer::Builder {
 public:
-  typedef Move Builds;
+  typedef Answer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2406,34 +2398,55 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline bool hasOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getOwner();
+  inline void setOwner( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownOwner();
 
-  inline  ::int64_t getLimitMs();
-  inline void setLimitMs( ::int64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline  ::rhubarbgrade::peer_protocol::ChangeResult getResult();
+  inline void setResult( ::rhubarbgrade::peer_protocol::ChangeResult value);
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getCreated();
-  inline void setCreated( ::uint64_t value);
+  inline bool hasWitness();
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Process::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Process::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Process> disownWitness();
 
-  inline  ::int64_t getElapsedMs();
-  inline void setElapsedMs( ::int64_t value);
+  inline bool hasDrawn();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder getDrawn();
+  inline void setDrawn( ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>::Builder initDrawn(unsigned int size);
+  inline void adoptDrawn(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Tokens,  ::capnp::Kind::STRUCT>> disownDrawn();
+
+  inline bool hasTotals();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder getTotals();
+  inline void setTotals( ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>::Builder initTotals(unsigned int size);
+  inline void adoptTotals(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Total,  ::capnp::Kind::STRUCT>> disownTotals();
+
+  inline bool hasWriter();
+  inline  ::capnp::Text::Builder getWriter();
+  inline void setWriter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWriter(unsigned int size);
+  inline void adoptWriter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWriter();
+
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2445,14 +2458,16 @@
 };
 
 #if !CAPNP_LITE
-class Move::Pipeline {
+class Answer::Pipeline {
 public:
-  typedef Move Pipelines;
+  typedef Answer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getOwner();
+  inline  ::rhubarbgrade::peer_protocol::Process::Pipeline getWitness();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2461,9 +2476,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class State::Reader {
+class Datagram::Reader {
 public:
-  typedef State Reads;
+  typedef Datagram Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2478,16 +2493,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::capnp::Text::Reader getConfiguration() const;
+  inline Which which() const;
+  inline bool isBeat() const;
+  inline bool hasBeat() const;
+  inline  ::rhubarbgrade::peer_protocol::Beat::Reader getBeat() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline bool isWitness() const;
+  inline bool hasWitness() const;
+  inline  ::rhubarbgrade::peer_protocol::Witness::Reader getWitness() const;
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+  inline bool isChange() const;
+  inline bool hasChange() const;
+  inline  ::rhubarbgrade::peer_protocol::Change::Reader getChange() const;
 
-  inline bool hasMoves() const;
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader getMoves() const;
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::rhubarbgrade::peer_protocol::Answer::Reader getAnswer() const;
+
+  inline bool isNews() const;
+  inline bool hasNews() const;
+  inline  ::rhubarbgrade::peer_protocol::News::Reader getNews() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2501,9 +2526,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class State::Builder {
+class Datagram::Builder {
 public:
-  typedef State Builds;
+  typedef Datagram Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2517,29 +2542,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::capnp::Text::Builder getConfiguration();
-  inline void setConfiguration( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
-  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+  inline Which which();
+  inline bool isBeat();
+  inline bool hasBeat();
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder getBeat();
+  inline void setBeat( ::rhubarbgrade::peer_protocol::Beat::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Beat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> disownBeat();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool isWitness();
+  inline bool hasWitness();
+  inline  ::rhubarbgrade::peer_protocol::Witness::Builder getWitness();
+  inline void setWitness( ::rhubarbgrade::peer_protocol::Witness::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Witness::Builder initWitness();
+  inline void adoptWitness(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Witness> disownWitness();
 
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>> disownEndpoints();
+  inline bool isChange();
+  inline bool hasChange();
+  inline  ::rhubarbgrade::peer_protocol::Change::Builder getChange();
+  inline void setChange( ::rhubarbgrade::peer_protocol::Change::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Change::Builder initChange();
+  inline void adoptChange(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Change> disownChange();
 
-  inline bool hasMoves();
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder getMoves();
-  inline void setMoves( ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder initMoves(unsigned int size);
-  inline void adoptMoves(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>> disownMoves();
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::rhubarbgrade::peer_protocol::Answer::Builder getAnswer();
+  inline void setAnswer( ::rhubarbgrade::peer_protocol::Answer::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Answer> disownAnswer();
+
+  inline bool isNews();
+  inline bool hasNews();
+  inline  ::rhubarbgrade::peer_protocol::News::Builder getNews();
+  inline void setNews( ::rhubarbgrade::peer_protocol::News::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::News::Builder initNews();
+  inline void adoptNews(::capnp::Orphan< ::rhubarbgrade::peer_protocol::News>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::News> disownNews();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2551,9 +2593,9 @@
 };
 
 #if !CAPNP_LITE
-class State::Pipeline {
+class Datagram::Pipeline {
 public:
-  typedef State Pipelines;
+  typedef Datagram Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2567,892 +2609,1682 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Endpoint::Reader {
+public:
+  typedef Endpoint Reads;
 
-inline double Sums::Reader::getRequests() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline double Sums::Builder::getRequests() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setRequests(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline double Sums::Reader::getErrors() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline double Sums::Builder::getErrors() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setErrors(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-inline double Sums::Reader::getLogLatency() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-inline double Sums::Builder::getLogLatency() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setLogLatency(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasIp() const;
+  inline  ::capnp::Text::Reader getIp() const;
 
-inline double Sums::Reader::getLogLatencySquare() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint16_t getPort() const;
 
-inline double Sums::Builder::getLogLatencySquare() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setLogLatencySquare(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-inline double Sums::Reader::getTimed() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-inline double Sums::Builder::getTimed() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Sums::Builder::setTimed(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getSlots() const;
 
-inline bool RouteEvidence::Reader::hasRoute() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RouteEvidence::Builder::hasRoute() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RouteEvidence::Reader::getRoute() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RouteEvidence::Builder::getRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RouteEvidence::Builder::setRoute( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder RouteEvidence::Builder::initRoute(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RouteEvidence::Builder::adoptRoute(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> RouteEvidence::Builder::disownRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline  ::uint64_t getStarted() const;
 
-inline bool RouteEvidence::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RouteEvidence::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getFrom() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Endpoint::Builder {
+public:
+  typedef Endpoint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasIp();
+  inline  ::capnp::Text::Builder getIp();
+  inline void setIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIp(unsigned int size);
+  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIp();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint64_t getStarted();
+  inline void setStarted( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Endpoint::Pipeline {
+public:
+  typedef Endpoint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Move::Reader {
+public:
+  typedef Move Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getLimitMs() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getCreated() const;
+
+  inline  ::int64_t getElapsedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Move::Builder {
+public:
+  typedef Move Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getLimitMs();
+  inline void setLimitMs( ::int64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getCreated();
+  inline void setCreated( ::uint64_t value);
+
+  inline  ::int64_t getElapsedMs();
+  inline void setElapsedMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Move::Pipeline {
+public:
+  typedef Move Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class State::Reader {
+public:
+  typedef State Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Text::Reader getConfiguration() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
+  inline bool hasMoves() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader getMoves() const;
+
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class State::Builder {
+public:
+  typedef State Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration();
+  inline  ::capnp::Text::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Endpoint,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
+  inline bool hasMoves();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder getMoves();
+  inline void setMoves( ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>::Builder initMoves(unsigned int size);
+  inline void adoptMoves(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Move,  ::capnp::Kind::STRUCT>> disownMoves();
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>> disownReports();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class State::Pipeline {
+public:
+  typedef State Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline double Sums::Reader::getRequests() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getRequests() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setRequests(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getErrors() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getErrors() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setErrors(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getLogLatency() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getLogLatency() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setLogLatency(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getLogLatencySquare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getLogLatencySquare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setLogLatencySquare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Sums::Reader::getTimed() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double Sums::Builder::getTimed() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Sums::Builder::setTimed(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouteEvidence::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouteEvidence::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouteEvidence::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouteEvidence::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouteEvidence::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouteEvidence::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getFrom() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
 inline void RouteEvidence::Builder::setFrom( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
   ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptFrom(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getTo() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setTo( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptTo(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasToAll() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasToAll() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToAll() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToAll() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setToAll( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptToAll(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToAll() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool RouteEvidence::Reader::hasToRecent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteEvidence::Builder::hasToRecent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToRecent() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToRecent() {
+  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void RouteEvidence::Builder::setToRecent( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RouteEvidence::Builder::adoptToRecent(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToRecent() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MoveEvidence::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MoveEvidence::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MoveEvidence::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MoveEvidence::Reader::hasRoutes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MoveEvidence::Builder::hasRoutes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader MoveEvidence::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MoveEvidence::Builder::setRoutes( ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MoveEvidence::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>> MoveEvidence::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Suspect::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspect::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspect::Reader::getDepth() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RouteEvidence::Builder::adoptFrom(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Suspect::Builder::getDepth() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Suspect::Builder::setDepth( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RouteEvidence::Reader::hasTo() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Suspect::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline bool RouteEvidence::Builder::hasTo() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline bool Suspect::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getTo() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Suspect::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Crash::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getTo() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(2));
+
+inline  ::uint64_t Crash::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setTo( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Crash::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RouteEvidence::Builder::adoptTo(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownTo() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RouteEvidence::Reader::hasToAll() const {
+inline bool Crash::Reader::hasSuspects() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteEvidence::Builder::hasToAll() {
+inline bool Crash::Builder::hasSuspects() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToAll() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader Crash::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToAll() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(3));
+inline void Crash::Builder::setSuspects( ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setToAll( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Crash::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RouteEvidence::Builder::adoptToAll(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>> Crash::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToAll() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RequestLimit::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool RouteEvidence::Reader::hasToRecent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t RequestLimit::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool RouteEvidence::Builder::hasToRecent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline void RequestLimit::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Reader RouteEvidence::Reader::getToRecent() const {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline double RequestLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::getToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline double RequestLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::rhubarbgrade::peer_protocol::Sums::Pipeline RouteEvidence::Pipeline::getToRecent() {
-  return  ::rhubarbgrade::peer_protocol::Sums::Pipeline(_typeless.getPointerField(4));
+inline void RequestLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-#endif  // !CAPNP_LITE
-inline void RouteEvidence::Builder::setToRecent( ::rhubarbgrade::peer_protocol::Sums::Reader value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RequestLimit::Reader::getNamedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::rhubarbgrade::peer_protocol::Sums::Builder RouteEvidence::Builder::initToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RequestLimit::Builder::getNamedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void RouteEvidence::Builder::adoptToRecent(
-    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums>&& value) {
-  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void RequestLimit::Builder::setNamedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestLimit::Reader::getUnnamedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestLimit::Builder::getUnnamedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setUnnamedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestLimit::Reader::getRejectedAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestLimit::Builder::getRejectedAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RequestLimit::Builder::setRejectedAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Quarantine::Reader::getSuspect() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Quarantine::Builder::getSuspect() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setSuspect( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Quarantine::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Quarantine::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Quarantine::Reader::getReleased() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Quarantine::Builder::getReleased() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Sums> RouteEvidence::Builder::disownToRecent() {
-  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Sums>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Quarantine::Builder::setReleased(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MoveEvidence::Reader::hasService() const {
+inline bool Beat::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasService() {
+inline bool Beat::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MoveEvidence::Reader::getService() const {
+inline  ::capnp::Text::Reader Beat::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::getService() {
+inline  ::capnp::Text::Builder Beat::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setService( ::capnp::Text::Reader value) {
+inline void Beat::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Beat::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MoveEvidence::Builder::adoptService(
+inline void Beat::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MoveEvidence::Reader::hasTarget() const {
+inline bool Beat::Reader::hasIncarnation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasTarget() {
+inline bool Beat::Builder::hasIncarnation() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MoveEvidence::Reader::getTarget() const {
+inline  ::capnp::Text::Reader Beat::Reader::getIncarnation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::getTarget() {
+inline  ::capnp::Text::Builder Beat::Builder::getIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void Beat::Builder::setIncarnation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MoveEvidence::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder Beat::Builder::initIncarnation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MoveEvidence::Builder::adoptTarget(
+inline void Beat::Builder::adoptIncarnation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MoveEvidence::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MoveEvidence::Reader::hasRoutes() const {
+inline  ::uint64_t Beat::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getFresh() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getFresh() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setFresh(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getStateDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getStateDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStateDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasEvidence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MoveEvidence::Builder::hasRoutes() {
+inline bool Beat::Builder::hasEvidence() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader MoveEvidence::Reader::getRoutes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::getRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MoveEvidence::Builder::setRoutes( ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Beat::Builder::setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>::Builder MoveEvidence::Builder::initRoutes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MoveEvidence::Builder::adoptRoutes(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Beat::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>> MoveEvidence::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RouteEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> Beat::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Suspect::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Suspect::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::getCanWrite() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline void Suspect::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+
+inline bool Beat::Builder::getCanWrite() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setCanWrite(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Suspect::Reader::getDepth() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setQuarantined( ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLimits( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Beat::Reader::getRelayPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Beat::Builder::getRelayPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setRelayPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasBrittle() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasBrittle() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getBrittle() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Suspect::Builder::getDepth() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Suspect::Builder::setDepth( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setBrittle( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-
-inline bool Suspect::Reader::getCleared() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initBrittle(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-
-inline bool Suspect::Builder::getCleared() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptBrittle(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Suspect::Builder::setCleared(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Crash::Reader::getProcess() const {
+inline  ::uint64_t Beat::Reader::getStarted() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crash::Builder::getProcess() {
+inline  ::uint64_t Beat::Builder::getStarted() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setProcess( ::uint64_t value) {
+inline void Beat::Builder::setStarted( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Beat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Beat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Crash::Reader::hasSuspects() const {
+inline bool Beat::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Crash::Builder::hasSuspects() {
+inline bool Beat::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader Crash::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Beat::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Crash::Builder::setSuspects( ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Beat::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>::Builder Crash::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Beat::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void Crash::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder Beat::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>> Crash::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Beat::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t RequestLimit::Reader::getProcess() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RequestLimit::Builder::getProcess() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline void RequestLimit::Builder::setProcess( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Beat::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-
-inline double RequestLimit::Reader::getPerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Beat::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline double RequestLimit::Builder::getPerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Beat::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void RequestLimit::Builder::setPerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t RequestLimit::Reader::getNamedAge() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Beat::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t RequestLimit::Builder::getNamedAge() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RequestLimit::Builder::setNamedAge( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RequestLimit::Reader::getUnnamedAge() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double Beat::Reader::getCapacity() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RequestLimit::Builder::getUnnamedAge() {
-  return _builder.getDataField< ::uint32_t>(
+inline double Beat::Builder::getCapacity() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RequestLimit::Builder::setUnnamedAge( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Beat::Builder::setCapacity(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RequestLimit::Reader::getRejectedAge() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::getAsksHub() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RequestLimit::Builder::getRejectedAge() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Beat::Builder::getAsksHub() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline void RequestLimit::Builder::setRejectedAge( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setAsksHub(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Quarantine::Reader::getSuspect() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Report::Reader::hasBeat() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Quarantine::Builder::getSuspect() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Report::Builder::hasBeat() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Quarantine::Builder::setSuspect( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader Report::Reader::getBeat() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Report::Builder::getBeat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setBeat( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Report::Builder::initBeat(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptBeat(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Report::Builder::disownBeat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Quarantine::Reader::getAgeMs() const {
+inline  ::uint32_t Report::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Quarantine::Builder::getAgeMs() {
+inline  ::uint32_t Report::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Quarantine::Builder::setAgeMs( ::uint32_t value) {
+inline void Report::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Quarantine::Reader::getReleased() const {
+inline bool Report::Reader::getDown() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool Quarantine::Builder::getReleased() {
+inline bool Report::Builder::getDown() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void Quarantine::Builder::setReleased(bool value) {
+inline void Report::Builder::setDown(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasHost() const {
+inline bool ZoneContact::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasHost() {
+inline bool ZoneContact::Builder::hasZone() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Beat::Reader::getHost() const {
+inline  ::capnp::Text::Reader ZoneContact::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Beat::Builder::getHost() {
+inline  ::capnp::Text::Builder ZoneContact::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setHost( ::capnp::Text::Reader value) {
+inline void ZoneContact::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Beat::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder ZoneContact::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptHost(
+inline void ZoneContact::Builder::adoptZone(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> ZoneContact::Builder::disownZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasIncarnation() const {
+inline  ::uint32_t ZoneContact::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ZoneContact::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ZoneContact::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool News::Reader::hasSender() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasIncarnation() {
+inline bool News::Builder::hasSender() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Beat::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Beat::Reader News::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Beat::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::rhubarbgrade::peer_protocol::Beat::Builder News::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Beat::Pipeline News::Pipeline::getSender() {
+  return  ::rhubarbgrade::peer_protocol::Beat::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Beat::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void News::Builder::setSender( ::rhubarbgrade::peer_protocol::Beat::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Beat::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::rhubarbgrade::peer_protocol::Beat::Builder News::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void News::Builder::adoptSender(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Beat> News::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Beat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Beat::Reader::getConfiguration() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool News::Reader::getHub() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Beat::Builder::getConfiguration() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool News::Builder::getHub() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setConfiguration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void News::Builder::setHub(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::getFresh() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool News::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Beat::Builder::getFresh() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool News::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Beat::Builder::setFresh(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader News::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder News::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setReports( ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder News::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>> News::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Beat::Reader::getStateDigest() const {
+inline  ::uint64_t News::Reader::getDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Beat::Builder::getStateDigest() {
+inline  ::uint64_t News::Builder::getDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setStateDigest( ::uint64_t value) {
+inline void News::Builder::setDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasEvidence() const {
+inline bool News::Reader::hasZones() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasEvidence() {
+inline bool News::Builder::hasZones() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getEvidence() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Reader News::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getEvidence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Builder News::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void News::Builder::setZones( ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initEvidence(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>::Builder News::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptEvidence(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void News::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> Beat::Builder::disownEvidence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>> News::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::ZoneContact,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasCrashes() const {
+inline bool News::Reader::hasEvidence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasCrashes() {
+inline bool News::Builder::hasEvidence() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader News::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder News::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setCrashes( ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void News::Builder::setEvidence( ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>::Builder News::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void News::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>> News::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::MoveEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::getCanWrite() const {
+inline bool News::Reader::getComplete() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Beat::Builder::getCanWrite() {
+inline bool News::Builder::getComplete() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setCanWrite(bool value) {
+inline void News::Builder::setComplete(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Beat::Reader::hasQuarantined() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Beat::Builder::hasQuarantined() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getQuarantined() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::setQuarantined( ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void Beat::Builder::adoptQuarantined(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>> Beat::Builder::disownQuarantined() {
