-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool Beat::Reader::hasLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Beat::Builder::hasLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::setLimits( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
-}
-inline void Beat::Builder::adoptLimits(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t Beat::Reader::getRelayPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Beat::Builder::getRelayPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Beat::Builder::setRelayPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Beat::Reader::hasBrittle() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline bool Beat::Builder::hasBrittle() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getBrittle() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getBrittle() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::setBrittle( ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initBrittle(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
-}
-inline void Beat::Builder::adoptBrittle(
-    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownBrittle() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::RequestLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Process::Reader::hasHost() const {
@@ -4693,6 +5525,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isNews() const {
+  return which() == Datagram::NEWS;
+}
+inline bool Datagram::Builder::isNews() {
+  return which() == Datagram::NEWS;
+}
+inline bool Datagram::Reader::hasNews() const {
+  if (which() != Datagram::NEWS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasNews() {
+  if (which() != Datagram::NEWS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::News::Reader Datagram::Reader::getNews() const {
+  KJ_IREQUIRE((which() == Datagram::NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::News::Builder Datagram::Builder::getNews() {
+  KJ_IREQUIRE((which() == Datagram::NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setNews( ::rhubarbgrade::peer_protocol::News::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NEWS);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::News::Builder Datagram::Builder::initNews() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NEWS);
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptNews(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::News>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NEWS);
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::News> Datagram::Builder::disownNews() {
+  KJ_IREQUIRE((which() == Datagram::NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::News>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Endpoint::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5173,6 +6059,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool State::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool State::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader State::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder State::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void State::Builder::setReports( ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Builder State::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void State::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>> State::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -1,8 +1,10 @@
 #include "peer_state.hpp"
 
-#include <cmath>   // isfinite
-#include <cstring> // memcpy
-#include <string>  // string
+#include <cmath>    // isfinite
+#include <cstring>  // memcpy
+#include <optional> // nullopt, optional
+#include <string>   // string
+#include <utility>  // move
 
 #include <capnp/message.h>   // MallocMessageBuilder
 #include <capnp/serialize.h> // FlatArrayMessageReader, messageToFlatArray
@@ -250,9 +252,85 @@
     heartbeat.limits = read_limits(root.getLimits());
     heartbeat.brittle = read_limits(root.getBrittle());
     heartbeat.relay_port = root.getRelayPort();
+    heartbeat.started = root.getStarted();
+    heartbeat.sequence = root.getSequence();
+    heartbeat.address = root.getAddress();
+    heartbeat.zone = root.getZone();
+    if (std::isfinite(root.getCapacity()))
+        heartbeat.capacity = root.getCapacity();
+    heartbeat.asks_hub = root.getAsksHub();
     return heartbeat;
 }
 
+void write_heartbeat(wire::Beat::Builder root, const peer_heartbeat& heartbeat)
+{
+    root.setHost(heartbeat.host);
+    root.setIncarnation(heartbeat.incarnation);
+    root.setConfiguration(heartbeat.configuration);
+    root.setFresh(heartbeat.fresh);
+    root.setCanWrite(heartbeat.can_write);
+    root.setRelayPort(heartbeat.relay_port);
+    root.setStateDigest(heartbeat.state_digest);
+    auto evidence = root.initEvidence(size_of(heartbeat.evidence));
+    for (unsigned i = 0; i < evidence.size(); ++i)
+        write_evidence(evidence[i], heartbeat.evidence[i]);
+    write_crashes(root, heartbeat.crashes);
+    write_limits(root.initLimits(size_of(heartbeat.limits)), heartbeat.limits);
+    write_limits(root.initBrittle(size_of(heartbeat.brittle)),
+                 heartbeat.brittle);
+    root.setStarted(heartbeat.started);
+    root.setSequence(heartbeat.sequence);
+    root.setAddress(heartbeat.address);
+    root.setZone(heartbeat.zone);
+    root.setCapacity(heartbeat.capacity);
+    root.setAsksHub(heartbeat.asks_hub);
+}
+
+capnp::Data::Reader data_of(const std::string& bytes)
+{
+    return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+void write_reports(capnp::List<wire::Report>::Builder to,
+                   const std::vector<shared_report>& from)
+{
+    for (unsigned i = 0; i < to.size(); ++i)
+    {
+        to[i].setBeat(data_of(from[i].beat));
+        to[i].setAgeMs(static_cast<std::uint32_t>(from[i].age.count()));
+        to[i].setDown(from[i].down);
+    }
+}
+
+std::vector<shared_report> read_reports(capnp::List<wire::Report>::Reader from)
+{
+    std::vector<shared_report> decoded;
+    for (const auto each : from)
+    {
+        const auto beat = each.getBeat();
+        decoded.push_back(
+            {std::string(reinterpret_cast<const char*>(beat.begin()),
+                         beat.size()),
+             milliseconds(each.getAgeMs()), each.getDown()});
+    }
+    return decoded;
+}
+
+peer_news read_news(wire::News::Reader from)
+{
+    peer_news decoded;
+    decoded.sender = read_heartbeat(from.getSender());
+    decoded.hub = from.getHub();
+    decoded.reports = read_reports(from.getReports());
+    decoded.digest = from.getDigest();
+    for (const auto each : from.getZones())
+        decoded.zones[each.getZone()] = milliseconds(each.getAgeMs());
+    for (const auto each : from.getEvidence())
+        decoded.evidence.push_back(read_evidence(each));
+    decoded.complete = from.getComplete();
+    return decoded;
+}
+
 void write_process(wire::Process::Builder to, const process_id& from)
 {
     to.setHost(from.host);
@@ -369,22 +447,29 @@
 std::string encode_heartbeat(const peer_heartbeat& heartbeat)
 {
     capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::Datagram>().initBeat();
-    root.setHost(heartbeat.host);
-    root.setIncarnation(heartbeat.incarnation);
-    root.setConfiguration(heartbeat.configuration);
-    root.setFresh(heartbeat.fresh);
-    root.setCanWrite(heartbeat.can_write);
-    root.setRelayPort(heartbeat.relay_port);
-    root.setStateDigest(heartbeat.state_digest);
-    auto evidence =
-        root.initEvidence(static_cast<unsigned>(heartbeat.evidence.size()));
-    for (unsigned i = 0; i < evidence.size(); ++i)
-        write_evidence(evidence[i], heartbeat.evidence[i]);
-    write_crashes(root, heartbeat.crashes);
-    write_limits(root.initLimits(size_of(heartbeat.limits)), heartbeat.limits);
-    write_limits(root.initBrittle(size_of(heartbeat.brittle)),
-                 heartbeat.brittle);
+    write_heartbeat(message.initRoot<wire::Datagram>().initBeat(), heartbeat);
+    return flatten(message);
+}
+
+std::string encode_news(const peer_news& from)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>().initNews();
+    write_heartbeat(root.initSender(), from.sender);
+    root.setHub(from.hub);
+    write_reports(root.initReports(size_of(from.reports)), from.reports);
+    root.setDigest(from.digest);
+    auto zones = root.initZones(size_of(from.zones));
+    unsigned i = 0;
+    for (const auto& [zone, age] : from.zones)
+    {
+        zones[i].setZone(zone);
+        zones[i++].setAgeMs(static_cast<std::uint32_t>(age.count()));
+    }
+    auto evidence = root.initEvidence(size_of(from.evidence));
+    for (unsigned j = 0; j < evidence.size(); ++j)
+        write_evidence(evidence[j], from.evidence[j]);
+    root.setComplete(from.complete);
     return flatten(message);
 }
 
@@ -457,23 +542,31 @@
 
 result<peer_datagram_t> decode_datagram(std::string_view bytes)
 {
-    return decode_message<wire::Datagram>(
+    auto decoded = decode_message<wire::Datagram>(
         bytes, "decode datagram",
-        [](wire::Datagram::Reader root) -> peer_datagram_t
+        [](wire::Datagram::Reader root) -> std::optional<peer_datagram_t>
         {
             switch (root.which())
             {
+            case wire::Datagram::BEAT:
+                return read_heartbeat(root.getBeat());
             case wire::Datagram::WITNESS:
                 return read_witness(root.getWitness());
             case wire::Datagram::CHANGE:
                 return read_change(root.getChange());
             case wire::Datagram::ANSWER:
                 return read_answer(root.getAnswer());
-            case wire::Datagram::BEAT:
-                break;
+            case wire::Datagram::NEWS:
+                return read_news(root.getNews());
             }
-            return read_heartbeat(root.getBeat());
+            return std::nullopt;
         });
+    if (!decoded)
+        return tl::unexpected(decoded.error());
+    if (!*decoded)
+        return failure(errc::malformed, "decode datagram", "peer",
+                       "a kind that this version does not know");
+    return std::move(**decoded);
 }
 
 std::string encode_state(const peer_state& state)
@@ -489,6 +582,7 @@
     auto moves = root.initMoves(static_cast<unsigned>(state.moves.size()));
     for (unsigned i = 0; i < moves.size(); ++i)
         write_move(moves[i], state.moves[i]);
+    write_reports(root.initReports(size_of(state.reports)), state.reports);
     return flatten(message);
 }
 
@@ -505,6 +599,7 @@
                 state.endpoints.push_back(read_endpoint(each));
             for (const auto each : root.getMoves())
                 state.moves.push_back(read_move(each));
+            state.reports = read_reports(root.getReports());
             return state;
         });
 }
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // uint16_t, uint64_t
+#include <map>      // map
 #include <optional> // optional
 #include <string>   // string
 #include <variant>  // variant
@@ -77,6 +78,34 @@
     /// Port at which the host passes connections on to endpoints; 0: it does
     /// not, since it is cut from them, stops or has no room.
     std::uint16_t relay_port = 0;
+    /// Start of the process, Unix time in ms; 0 in heartbeats of hosts that
+    /// send theirs to all others and know no hubs.
+    std::uint64_t started = 0;
+    std::uint64_t sequence = 0; ///< of the report on the host
+    std::string address;        ///< "ip:port" for peers
+    std::string zone;
+    double capacity = 0;   ///< see escrow_holding
+    bool asks_hub = false; ///< the sender takes the receiver for a hub
+};
+
+/// @brief A host's report as another one passes it on.
+struct shared_report
+{
+    std::string beat; ///< encoded heartbeat, as the host made it
+    milliseconds age{0};
+    bool down = false; ///< declared so by a hub
+};
+
+/// @brief What a host passes on of others.
+struct peer_news
+{
+    peer_heartbeat sender;
+    bool hub = false; ///< the sender acts as hub
+    std::vector<shared_report> reports;
+    std::uint64_t digest = 0; ///< of all reports that the sender has
+    std::map<std::string, milliseconds> zones; ///< age of the last contact
+    std::vector<shared_evidence> evidence;     ///< sums over many hosts
+    bool complete = false;                     ///< the last part of the news
 };
 
 /// @brief A move as one host has it.
@@ -93,19 +122,22 @@
     std::uint64_t version = 0; ///< of the configuration
     std::vector<endpoint_entry> endpoints;
     std::vector<shared_move> moves;
+    std::vector<shared_report> reports; ///< on all hosts
 };
 
 /// @brief Content of one datagram between hosts.
 using peer_datagram_t = std::variant<peer_heartbeat, witness_message,
-                                     account_change, account_answer>;
+                                     account_change, account_answer, peer_news>;
 
 std::string encode_heartbeat(const peer_heartbeat& heartbeat);
 std::string encode_witness(const witness_message& message);
 std::string encode_change(const account_change& change);
 std::string encode_answer(const account_answer& answer);
+std::string encode_news(const peer_news& news);
 
 /// @brief Decodes a datagram.
-/// @return the message, or errc::malformed for bytes that are none
+/// @return the message, or errc::malformed for bytes that are none and for a
+///         kind that this version doesn't know
 result<peer_datagram_t> decode_datagram(std::string_view bytes);
 
 std::string encode_state(const peer_state& state);
