--- a/include/rhubarbgrade/detail/membership/fleet_table.hpp
+++ b/include/rhubarbgrade/detail/membership/fleet_table.hpp
@@ -22,7 +22,7 @@
     std::uint64_t sequence = 0; ///< of the report, set by the host itself
     bool down = false;          ///< a hub has declared the host down
 
-    auto operator<=>(const report_version&) const = default;
+    auto operator<=>(const report_version&) const = default; // NOLINT
 };
 
 /// @brief What a host says of itself; other hosts pass it on unchanged.
@@ -84,6 +84,14 @@
     /// @brief Sets what this host reports of itself.
     void set_content(std::string content);
 
+    /// @brief Whether this host has something to tell its zone as a hub, such
+    /// as
+    ///        what it reads for it.
+    void set_speaks(bool speaks)
+    {
+        m_speaks = speaks;
+    }
+
     /// @brief Adds a report that was received.
     /// @return whether it was new
     bool merge(const host_report& report, time_point_t now);
@@ -114,6 +122,9 @@
     /// @brief The hubs to report to; silent ones are replaced.
     std::vector<std::string> choose_hubs(time_point_t now);
 
+    /// @brief Other hosts of the zone that act as hubs, and expect reports.
+    std::vector<std::string> other_hubs(time_point_t now) const;
+
     /// @brief Hubs of the other zones that a hub sends to; silent ones are
     ///        replaced.
     std::vector<std::string> choose_distant_hubs(time_point_t now);
@@ -175,6 +186,7 @@
         time_point_t changed_at{};
         time_point_t heard_at{};     ///< last message that came directly
         time_point_t hub_heard_at{}; ///< last one as a hub
+        time_point_t reported_at{};  ///< last one to this host as its hub
         time_point_t asked_since{};  ///< sent to as a hub, from then on
         time_point_t avoid_until{};
     };
@@ -202,6 +214,7 @@
     time_point_t m_hub_since{}; ///< empty if this host is none
     time_point_t m_advanced_at{};
     std::size_t m_next_stranger = 0;
+    bool m_speaks = false;
 };
 
 } // namespace rhubarbgrade
--- a/src/membership/fleet_table.cpp
+++ b/src/membership/fleet_table.cpp
@@ -88,6 +88,8 @@
     known.avoid_until = {};
     if (is_hub)
         known.hub_heard_at = now;
+    if (asks || is_hub)
+        known.reported_at = now;
     if (asks)
         m_asked_at = now;
     record_zone(known.report.zone, now);
@@ -111,8 +113,9 @@
 void fleet_table::shift(time_point_t::duration gap)
 {
     for (auto& [host, each] : m_members)
-        for (auto* const at : {&each.heard_at, &each.hub_heard_at,
-                               &each.asked_since, &each.avoid_until})
+        for (auto* const at :
+             {&each.heard_at, &each.hub_heard_at, &each.reported_at,
+              &each.asked_since, &each.avoid_until})
             if (*at != time_point_t{})
                 *at += gap;
     for (auto& [zone, at] : m_zones)
@@ -145,7 +148,7 @@
             continue;
         // A host that has reported to others so far must learn of this hub
         // first, and then has the usual time.
-        const bool reported = each.heard_at + 2 * m_policy.silence > now;
+        const bool reported = each.reported_at + 2 * m_policy.silence > now;
         const auto since =
             reported ? each.heard_at
                      : std::max(each.heard_at, m_hub_since + m_policy.silence);
@@ -189,6 +192,7 @@
         if (each.report.zone == zone && eligible(each))
             consider(each.report);
     std::vector<std::string> hosts;
+    hosts.reserve(best.size());
     for (const auto& [rank, host] : best)
         hosts.emplace_back(host);
     return hosts;
@@ -235,13 +239,6 @@
 {
     auto hubs = answering_hubs(m_self.zone, now);
     std::erase(hubs, m_self.host);
-    // Other hosts that act as hubs expect to hear from this one, too.
-    for (const auto& [host, each] : m_members)
-        if (each.report.zone == m_self.zone &&
-            now - each.hub_heard_at < m_policy.asked &&
-            std::find(hubs.begin(), hubs.end(), host) == hubs.end() &&
-            hubs.size() < 2 * m_policy.hubs)
-            hubs.push_back(host);
     for (auto& [host, each] : m_members)
         if (each.report.zone == m_self.zone &&
             std::find(hubs.begin(), hubs.end(), host) == hubs.end())
@@ -249,6 +246,18 @@
     return hubs;
 }
 
+std::vector<std::string> fleet_table::other_hubs(time_point_t now) const
+{
+    const auto chosen = hubs_of(m_self.zone, now);
+    std::vector<std::string> others;
+    for (const auto& [host, each] : m_members)
+        if (each.report.zone == m_self.zone &&
+            now - each.hub_heard_at < m_policy.asked &&
+            std::find(chosen.begin(), chosen.end(), host) == chosen.end())
+            others.push_back(host);
+    return others;
+}
+
 std::vector<std::string> fleet_table::choose_distant_hubs(time_point_t now)
 {
     std::set<std::string> zones;
@@ -387,7 +396,7 @@
 
 bool fleet_table::acts_as_hub(time_point_t now) const
 {
-    if (now - m_asked_at < m_policy.asked)
+    if (m_speaks || now - m_asked_at < m_policy.asked)
         return true;
     const auto hubs = hubs_of(m_self.zone, now);
     if (std::find(hubs.begin(), hubs.end(), m_self.host) != hubs.end())
--- a/src/node/escrow_calls.hpp
+++ b/src/node/escrow_calls.hpp
@@ -18,7 +18,10 @@
 /// for, so a draw covers several seconds of usage.
 constexpr milliseconds max_check_interval{400};
 
-/// Delay before a failed call is repeated.
+/// Delay before a failed call is repeated; it doubles with each further one up
+/// to a bound, since a store that refuses charges for the calls, too. Half of
+/// it is random, so that hosts don't call at the same moment.
 constexpr milliseconds retry_delay{150};
+constexpr milliseconds max_retry_delay{2000};
 
 } // namespace rhubarbgrade::escrow_calls
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -74,7 +74,8 @@
       m_identity(std::move(identity)),
       m_listener(std::move(listener)),
       m_wake_timer(executor),
-      m_started(time_point_t::clock::now())
+      m_started(time_point_t::clock::now()),
+      m_next_failure_pause(retry_delay)
 {
 }
 
@@ -421,8 +422,7 @@
     {
         if (!m_store_reachable)
             co_return fail_all(std::exchange(m_received, {}));
-        m_failing = true;
-        co_return retry_delay;
+        co_return failure_pause();
     }
     update_witness();
     if (owns_holding())
@@ -445,9 +445,29 @@
     if (answered && !m_store_reachable)
         m_reachable_since = time_point_t::clock::now();
     m_store_reachable = answered;
+    if (answered)
+        m_next_failure_pause = retry_delay;
     record_outcome(answered);
 }
 
+/// Pause after a call that failed.
+milliseconds escrow_keeper::failure_pause()
+{
+    m_failing = true;
+    const auto longest = m_next_failure_pause;
+    m_next_failure_pause = std::min(2 * longest, max_retry_delay);
+    std::uniform_int_distribution<milliseconds::rep> pause_ms(
+        longest.count() / 2, longest.count());
+    return milliseconds(pause_ms(m_random));
+}
+
+void escrow_keeper::on_store_back()
+{
+    m_next_failure_pause = retry_delay;
+    m_failing = false;
+    m_wake_timer.cancel();
+}
+
 /// Records whether draws succeed, by this host or by another writer.
 void escrow_keeper::record_outcome(bool answered)
 {
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -93,6 +93,10 @@
     /// @brief Handles the answer to this host's change.
     void handle_answer(const account_answer& reply);
 
+    /// @brief Another host has found that the store answers again, or has
+    ///        begun another era.
+    void on_store_back();
+
     /// @brief Records a heartbeat of a host.
     /// @param[in] writable  whether the host can write the account
     void record_heartbeat(const std::string& host, bool writable);
@@ -150,6 +154,7 @@
                                                     std::uint64_t revision);
     milliseconds send_pending(const std::string& writer);
     milliseconds conflict_pause();
+    milliseconds failure_pause();
     void answer_all(const changes_t& changes, const escrow_book& book,
                     const std::map<process_id, change_result>& results);
     void answer(const account_change& change, account_answer reply);
@@ -235,6 +240,7 @@
     token_count_t m_stranded = 0;
     std::size_t m_account_bytes = 0; ///< as last read
     bool m_failing = false; ///< the current pause must not be cut short
+    milliseconds m_next_failure_pause; ///< after a call that fails next
     int m_consecutive_failures = 0;
     bool m_store_reachable = true; ///< the store answered the last call
     time_point_t m_reachable_since{};
--- a/src/node/escrow_repair.cpp
+++ b/src/node/escrow_repair.cpp
@@ -9,7 +9,7 @@
 #include <rhubarbgrade/detail/escrow/account_repair.hpp> // start_repair
 
 #include "../store/store_client.hpp" // store_client
-#include "escrow_calls.hpp"          // call_timeout, retry_delay
+#include "escrow_calls.hpp"          // call_timeout
 #include "witness_keeper.hpp"        // witness_keeper
 
 // The repair of the escrow account after the store came back from a copy.
--- a/src/node/escrow_writing.cpp
+++ b/src/node/escrow_writing.cpp
@@ -12,7 +12,7 @@
 #include <rhubarbgrade/detail/escrow/closed_holdings.hpp> // find_closed
 
 #include "../store/store_client.hpp" // store_client
-#include "escrow_calls.hpp"          // call_timeout, retry_delay
+#include "escrow_calls.hpp"          // call_timeout
 
 // The exchange of changes between their owners and the host that writes them
 // to the escrow account.
@@ -251,8 +251,7 @@
     for (const auto& [owner, change] : changes)
         results[owner] = change_result::failed;
     answer_all(changes, m_view.book, results);
-    m_failing = true;
-    return retry_delay;
+    return failure_pause();
 }
 
 /// Logs the holdings that a write has closed, and what it counts as spent.
--- a/src/node/member_keeper.cpp
+++ b/src/node/member_keeper.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // max, rotate
 #include <chrono>    // duration_cast, seconds
 #include <set>       // set
-#include <utility>   // move
+#include <utility>   // exchange, move
 #include <variant>   // get_if
 
 #include <spdlog/spdlog.h> // info, warn
@@ -80,10 +80,11 @@
 std::uint64_t hash_content(const peer_heartbeat& heartbeat)
 {
     hasher hash;
+    hash.add(heartbeat.store_era);
     hash.add(heartbeat.address);
     hash.add(heartbeat.zone);
     hash.add(heartbeat.relay_port);
-    hash.add(heartbeat.can_write ? 1 : 0);
+    hash.add((heartbeat.can_write ? 1 : 0) + (heartbeat.store_failing ? 2 : 0));
     for (const auto& crash : heartbeat.crashes.crashes)
     {
         hash.add(crash.process);
@@ -124,8 +125,8 @@
 /// Whether what a host reports must be known everywhere at once.
 bool is_urgent(const peer_heartbeat& heartbeat)
 {
-    return !heartbeat.crashes.crashes.empty() || !heartbeat.limits.empty() ||
-           !heartbeat.brittle.empty();
+    return heartbeat.store_failing || !heartbeat.crashes.crashes.empty() ||
+           !heartbeat.limits.empty() || !heartbeat.brittle.empty();
 }
 
 } // namespace
@@ -212,6 +213,12 @@
         if (const auto* const known = m_table.find(host);
             !hub || known->version == report_version())
             send_heartbeat(host, question);
+    if (const auto others = m_table.other_hubs(now); !hub && !others.empty())
+    {
+        const auto bytes = encode_heartbeat(heartbeat);
+        for (const auto& host : others)
+            send_heartbeat(host, bytes);
+    }
     if (!m_table.connected(now))
     {
         auto without_evidence = heartbeat;
@@ -249,6 +256,7 @@
     // A new hub has not heard of all hosts of its zone yet.
     if (m_table.settled_hub(now))
         header.evidence = m_callbacks.fleet_evidence();
+    m_callbacks.add_changes(header, since);
     send_parts(m_table.zone_members(), header, m_table.changed_since("", since),
                now);
     std::vector<std::string> distant;
@@ -264,6 +272,7 @@
         }
     header.sender.evidence.clear();
     header.evidence.clear();
+    header.changes.clear();
     if (m_table.settled_hub(now))
         header.evidence = m_callbacks.zone_evidence();
     send_parts(distant, std::move(header),
@@ -281,6 +290,8 @@
 {
     if (hosts.empty())
         return;
+    // The last part has the changes, with the digest of the state after them.
+    auto changes = std::exchange(header.changes, {});
     const auto flush = [&]
     {
         const auto bytes = encode_news(header);
@@ -310,6 +321,7 @@
             {each.content, age_of(each.made_at, now), each.version.down});
     }
     header.complete = true;
+    header.changes = std::move(changes);
     flush();
 }
 
@@ -363,7 +375,9 @@
     merge(heartbeat, false, now, now);
     m_table.record_heard(heartbeat.host, heartbeat.asks_hub, false, now);
     m_callbacks.reported(heartbeat, now);
-    if (!heartbeat.asks_hub || is_outdated(heartbeat))
+    const bool gets_news =
+        m_table.acts_as_hub(now) && heartbeat.zone == m_table.self().zone;
+    if ((!heartbeat.asks_hub && !gets_news) || is_outdated(heartbeat))
         answer_stranger(heartbeat, now);
 }
 
@@ -396,6 +410,30 @@
     send_parts({stranger.host}, std::move(header), reports, now);
 }
 
+void member_keeper::repair(const std::vector<shared_report>& reports)
+{
+    merge_reports(reports);
+    // What is later here is missing there.
+    const auto now = m_callbacks.now();
+    std::vector<host_report> later;
+    for (const auto& each : reports)
+    {
+        const auto decoded = decode_datagram(each.beat);
+        if (!decoded)
+            continue;
+        if (const auto* const heartbeat =
+                std::get_if<peer_heartbeat>(&*decoded);
+            heartbeat != nullptr && !each.down && is_outdated(*heartbeat))
+            later.push_back(*m_table.find(heartbeat->host));
+    }
+    if (later.empty() || m_repaired_from.empty())
+        return;
+    peer_news header;
+    header.sender = make_heartbeat(now);
+    header.sender.evidence.clear();
+    send_parts({m_repaired_from}, std::move(header), later, now);
+}
+
 void member_keeper::merge_reports(const std::vector<shared_report>& reports)
 {
     const auto now = m_callbacks.now();
@@ -452,8 +490,9 @@
         now - m_repaired_at < repair_interval)
         return;
     m_repaired_at = now;
+    m_repaired_from = news.sender.host;
     ++m_counts.repairs;
-    m_callbacks.request_state(news.sender.host);
+    m_callbacks.request_reports(news.sender.host);
 }
 
 std::vector<shared_report> member_keeper::shared_reports() const
--- a/src/node/member_keeper.hpp
+++ b/src/node/member_keeper.hpp
@@ -26,12 +26,14 @@
     /// Evidence on moves, summed over the hosts that this host reports to.
     std::function<std::vector<shared_evidence>()> zone_evidence;
     std::function<std::vector<shared_evidence>()> fleet_evidence;
+    /// Adds what has changed since a time to the news for the own zone.
+    std::function<void(peer_news&, time_point_t)> add_changes;
     std::function<void(const socket_address&, const std::string&)> send;
     /// What is to be sent must not wait for the next period.
     std::function<void()> hasten;
     std::function<time_point_t()> now;
     /// Reports of a host are missing here.
-    std::function<void(const std::string&)> request_state;
+    std::function<void(const std::string&)> request_reports;
 };
 
 /// @brief Keeps this host's table of the fleet up to date: reports to hubs, or
@@ -55,8 +57,10 @@
     void handle_heartbeat(const peer_heartbeat& heartbeat);
     void handle_news(const peer_news& news);
 
-    /// @brief Adds the reports of a peer's state.
-    void merge_reports(const std::vector<shared_report>& reports);
+    /// @brief Adds all reports of the host that was asked for them, and sends
+    /// it
+    ///        what is later here.
+    void repair(const std::vector<shared_report>& reports);
 
     /// @brief All reports, for the state that peers request.
     std::vector<shared_report> shared_reports() const;
@@ -86,6 +90,13 @@
     std::set<std::string> ips() const;
 
     bool acts_as_hub() const;
+
+    /// @brief See @ref fleet_table::set_speaks.
+    void set_speaks(bool speaks)
+    {
+        m_table.set_speaks(speaks);
+    }
+
     void log_counts();
 
 private:
@@ -119,6 +130,7 @@
     /// @return whether it was new
     bool merge(const peer_heartbeat& heartbeat, bool down, time_point_t made_at,
                time_point_t now);
+    void merge_reports(const std::vector<shared_report>& reports);
     void compare_digests(const peer_news& news, time_point_t now);
 
     member_callbacks m_callbacks;
@@ -131,6 +143,7 @@
     std::array<time_point_t, 3> m_sent_at{};
     time_point_t m_differs_since{}; ///< digests of hubs from this host's
     time_point_t m_repaired_at{};
+    std::string m_repaired_from; ///< host that was asked for its reports
     message_counts m_counts;
 };
 
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -22,6 +22,9 @@
 
 constexpr milliseconds call_timeout{800};
 
+/// Time that other hosts leave to the one that writes the end of a move.
+constexpr milliseconds write_delay{300};
+
 /// Age up to which a hub's sum of the evidence is used; hubs send it twice a
 /// second.
 constexpr milliseconds max_fleet_age{1600};
@@ -33,19 +36,23 @@
 {
 }
 
-void move_keeper::apply_order(const move_order& order, time_point_t now)
+void move_keeper::apply_order(const move_order& order, time_point_t now,
+                              std::uint64_t era)
 {
     auto& tracked = m_moves[order.service];
+    if (era < tracked.era ||
+        (era == tracked.era && order.revision < tracked.order.revision))
+        return;
     // A store that came back from a copy has lost an order made since; it is
     // created anew when it is written again.
     const bool written_again =
-        tracked.era != m_store.era() && tracked.order.target == order.target;
-    tracked.era = m_store.era();
+        tracked.era != era && tracked.order.target == order.target;
+    tracked.era = era;
     if (tracked.order.target != order.target ||
         (tracked.order.created != order.created && !written_again))
     {
         tracked = {};
-        tracked.era = m_store.era();
+        tracked.era = era;
         tracked.first_seen = now;
         tracked.decayed_at = now;
         tracked.step.target_share = m_policy.share;
@@ -67,6 +74,15 @@
     m_moves.erase(service);
 }
 
+void move_keeper::retain(const std::set<std::string>& services)
+{
+    std::erase_if(m_moves,
+                  [&](const auto& each)
+                  {
+                      return !services.contains(each.first);
+                  });
+}
+
 void move_keeper::record_sample(const version_sample& sample)
 {
     const auto found = m_moves.find(sample.service);
@@ -158,12 +174,14 @@
     std::vector<shared_move> all;
     all.reserve(m_moves.size());
     for (const auto& [service, each] : m_moves)
-        all.push_back({each.order, std::chrono::duration_cast<milliseconds>(
-                                       now - each.first_seen)});
+        all.push_back(
+            {each.order,
+             std::chrono::duration_cast<milliseconds>(now - each.first_seen),
+             each.era});
     return all;
 }
 
-void move_keeper::tick(time_point_t now)
+void move_keeper::tick(time_point_t now, bool first)
 {
     for (auto& [service, each] : m_moves)
     {
@@ -183,11 +201,14 @@
                 pooled,
                 std::chrono::duration_cast<milliseconds>(now - each.first_seen),
                 each.order.limit, m_policy);
+            if (each.step.state != order_state::running)
+                each.decided_at = now;
             if (each.step.state != order_state::running)
                 spdlog::info("move of {} to {}: {}", service, each.order.target,
                              each.step.reason);
         }
-        if (each.step.state != order_state::running && !each.writing)
+        if (each.step.state != order_state::running && !each.writing &&
+            (first || now - each.decided_at >= write_delay))
         {
             each.writing = true;
             auto order = each.order;
@@ -220,7 +241,7 @@
         co_return;
     }
     if (const auto current = platform::decode_move(*object))
-        apply_order(*current, time_point_t::clock::now());
+        apply_order(*current, time_point_t::clock::now(), answer.era);
 }
 
 std::map<std::string, trial_split, std::less<>> move_keeper::splits() const
--- a/src/node/move_keeper.hpp
+++ b/src/node/move_keeper.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>    // map
+#include <set>    // set
 #include <string> // string
 #include <vector> // vector
 
@@ -29,11 +30,17 @@
 public:
     move_keeper(boost::asio::any_io_executor executor, store_client& store);
 
-    /// @brief Inserts or updates a move; a new target starts a new trial.
-    void apply_order(const move_order& order, time_point_t now);
+    /// @brief Inserts or updates a move; a new target starts a new trial. An
+    ///        older state of an order is ignored.
+    /// @param[in] era  of the store that had the order
+    void apply_order(const move_order& order, time_point_t now,
+                     std::uint64_t era);
 
     void remove(const std::string& service);
 
+    /// @brief Forgets the moves of all services but these.
+    void retain(const std::set<std::string>& services);
+
     /// @brief Adds an attempt to the evidence on its service's move, if any.
     void record_sample(const version_sample& sample);
 
@@ -68,8 +75,9 @@
 
     /// @brief Decays the evidence, decides the next step of each running move
     ///        and writes the outcomes that have been decided.
+    /// @param[in] first  this host writes at once; others only if it does not
     /// @note Call it periodically; failed writes are retried.
-    void tick(time_point_t now);
+    void tick(time_point_t now, bool first);
 
     /// @brief Current traffic split by service.
     std::map<std::string, trial_split, std::less<>> splits() const;
@@ -88,7 +96,8 @@
         move_evidence_t fleet;   ///< sum of all, as a hub has it
         time_point_t fleet_at{}; ///< when it was received
         trial_step step;
-        bool writing = false; ///< a write of the outcome is in flight
+        time_point_t decided_at{}; ///< when the step ended the move
+        bool writing = false;      ///< a write of the outcome is in flight
     };
 
     /// Evidence of this host and its peers, and of other zones.
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -32,13 +32,26 @@
 /// Interval at which the calls to the store are logged.
 constexpr milliseconds log_interval{5000};
 
-/// Age of the store's last response up to which this host does not ask peers
-/// for state. A watch returns at least every 2 s.
+/// Age of the state up to which this host does not ask any peer for another
+/// one. Hubs say twice a second how old it is.
 constexpr milliseconds max_answer_age{2600};
 
 /// Entries that name no endpoint and are remembered.
 constexpr std::size_t max_unusable = 1000;
 
+/// Time after the start in which a host learns whether others read the store:
+/// it reports as soon as it has read the account, and is answered at once.
+constexpr milliseconds introduction{400};
+
+/// Age of a position in the store's history from which on changes of any kind
+/// have reached this host, whoever reads them: a watch whose answer was lost is
+/// given up by then.
+constexpr milliseconds settle_time{9000};
+
+/// Changes of the endpoints that are kept to be sent, in time and number.
+constexpr milliseconds change_retention{5000};
+constexpr std::size_t max_changes = 300;
+
 /// How long this host waits for its own watch to deliver a configuration that
 /// a peer already has, before it fetches the peer's state.
 constexpr milliseconds peer_fetch_delay{300};
@@ -72,6 +85,11 @@
                  settings.processor_cores * settings.link_mbps},
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
+      m_reader(loop.get_executor(), m_store, settings.host,
+               [this]
+               {
+                   m_peers.hasten_heartbeat();
+               }),
       m_witnesses(loop.get_executor(), m_identity.process, settings.zone,
                   make_witness_callbacks()),
       m_escrow(loop.get_executor(), m_store, m_witnesses, m_identity,
@@ -88,7 +106,9 @@
                 unix_time_ms(), make_member_callbacks()),
       m_crashes(settings.host),
       m_limits(settings.host),
-      m_brittle(settings.host)
+      m_brittle(settings.host),
+      m_started(time_point_t::clock::now()),
+      m_confirmed_at(m_started)
 {
 }
 
@@ -97,8 +117,11 @@
     auto listener = m_traffic.escrow;
     listener.account_read = [this](const escrow_book& book)
     {
+        const auto known = m_members.size();
         m_members.introduce(book);
         publish_hosts();
+        if (m_members.size() != known)
+            m_peers.hasten_heartbeat();
     };
     listener.send_change =
         [this](const std::string& address, const account_change& change)
@@ -139,6 +162,12 @@
     {
         return make_state();
     };
+    listener.current_reports = [this]
+    {
+        peer_state state;
+        state.reports = m_members.shared_reports();
+        return state;
+    };
     listener.heartbeat_received = [this](const peer_heartbeat& heartbeat)
     {
         m_members.handle_heartbeat(heartbeat);
@@ -147,6 +176,7 @@
     listener.news_received = [this](const peer_news& news)
     {
         m_members.handle_news(news);
+        apply_changes(news);
         if (news.sender.zone == m_settings.zone && news.hub)
             m_moves.set_fleet_evidence(news.evidence,
                                        time_point_t::clock::now());
@@ -194,6 +224,10 @@
     {
         return m_moves.fleet_evidence();
     };
+    callbacks.add_changes = [this](peer_news& news, time_point_t since)
+    {
+        add_changes(news, since);
+    };
     callbacks.send =
         [this](const socket_address& address, const std::string& bytes)
     {
@@ -204,9 +238,9 @@
     {
         m_peers.hasten_heartbeat();
     };
-    callbacks.request_state = [this](const std::string& host)
+    callbacks.request_reports = [this](const std::string& host)
     {
-        m_peers.request_state(m_members.address_of(host));
+        m_peers.request_reports(m_members.address_of(host));
     };
     return callbacks;
 }
@@ -214,17 +248,21 @@
 void node_control::start()
 {
     spawn(m_loop,
-          list_and_watch(m_store, std::string(platform::configuration_kind),
+          list_and_watch(m_store, m_reader.gate(),
+                         std::string(platform::configuration_kind),
                          make_configuration_listener()),
           "watch of the configuration");
     spawn(m_loop,
-          list_and_watch(m_store, std::string(platform::endpoint_kind),
+          list_and_watch(m_store, m_reader.gate(),
+                         std::string(platform::endpoint_kind),
                          make_endpoint_listener()),
           "watch of the endpoint list");
     spawn(m_loop,
-          list_and_watch(m_store, std::string(platform::move_kind),
+          list_and_watch(m_store, m_reader.gate(),
+                         std::string(platform::move_kind),
                          make_move_listener()),
           "watch of the moves");
+    spawn(m_loop, m_reader.probe(), "signs of life of the store");
     spawn(m_loop, m_escrow.run(), "escrow writer");
     spawn(m_loop, m_witnesses.run(), "witness confirmations");
     m_peers.start();
@@ -234,7 +272,16 @@
 watch_listener node_control::make_configuration_listener()
 {
     watch_listener listener;
-    listener.snapshot = [this](const auto& objects)
+    listener.reached = [](std::uint64_t) {};
+    listener.known = [this]
+    {
+        return m_configuration != nullptr;
+    };
+    listener.known_up_to = [this]
+    {
+        return settled_revision();
+    };
+    listener.snapshot = [this](const auto& objects, std::uint64_t)
     {
         for (const auto& each : objects)
             if (each.name == platform::configuration_name)
@@ -255,7 +302,19 @@
 watch_listener node_control::make_endpoint_listener()
 {
     watch_listener listener;
-    listener.snapshot = [this](const auto& objects)
+    listener.reached = [this](std::uint64_t revision)
+    {
+        reach(revision);
+    };
+    listener.known = [this]
+    {
+        return m_endpoints_known;
+    };
+    listener.known_up_to = [this]
+    {
+        return m_position.era == m_store.era() ? m_position.revision : 0;
+    };
+    listener.snapshot = [this](const auto& objects, std::uint64_t revision)
     {
         std::vector<endpoint_entry> entries;
         for (const auto& each : objects)
@@ -273,20 +332,26 @@
             replace_endpoints(m_endpoints, entries, now);
         m_listed_era = m_store.era();
         m_endpoints_known = true;
+        set_position({m_store.era(), revision}, now);
         publish();
+        m_peers.hasten_heartbeat();
     };
     listener.changed = [this](const auto& event)
     {
+        const auto now = time_point_t::clock::now();
         if (event.removed)
         {
-            remove_endpoint(m_endpoints, event.object.name,
-                            time_point_t::clock::now());
+            remove_endpoint(m_endpoints, event.object.name, now);
             spdlog::info("endpoint {} was removed from the store",
                          event.object.name);
         }
         else
             apply_endpoint(event.object);
-        publish();
+        const auto found = m_endpoints.endpoints.find(event.object.name);
+        if (found != m_endpoints.endpoints.end())
+            m_changes.push_back({now,
+                                 {found->second.entry, found->second.gone,
+                                  found->second.lapsed, 0}});
     };
     listener.answered = [this](bool answered)
     {
@@ -302,13 +367,24 @@
     {
         const auto order = platform::decode_move(object);
         if (order)
-            m_moves.apply_order(*order, time_point_t::clock::now());
+            m_moves.apply_order(*order, time_point_t::clock::now(),
+                                m_store.era());
         else
             spdlog::warn("ignored a move object: {}", order.error().message());
     };
     watch_listener listener;
-    listener.snapshot = [this, apply_object](const auto& objects)
+    listener.reached = [](std::uint64_t) {};
+    listener.known = [this]
     {
+        return m_moves_known;
+    };
+    listener.known_up_to = [this]
+    {
+        return settled_revision();
+    };
+    listener.snapshot = [this, apply_object](const auto& objects, std::uint64_t)
+    {
+        m_moves_known = true;
         for (const auto& each : objects)
             apply_object(each);
         publish();
@@ -330,14 +406,161 @@
 
 void node_control::record_store_answer(bool answered)
 {
-    const auto now = time_point_t::clock::now();
-    if (answered)
-        m_store_answered_at = now;
+    m_reader.record_answer(answered, time_point_t::clock::now());
+}
+
+time_point_t node_control::confirmed_at() const
+{
+    return m_reader.reads() && m_endpoints_known
+               ? std::max(m_confirmed_at, m_reader.answered_at())
+               : m_confirmed_at;
 }
 
 bool node_control::store_is_current(time_point_t now) const
 {
-    return m_endpoints.reachable && now - m_store_answered_at < max_answer_age;
+    return m_endpoints.reachable && now - confirmed_at() < max_answer_age;
+}
+
+bool node_control::reads_store(time_point_t now) const
+{
+    return m_reader.reads() && m_endpoints.reachable &&
+           now - m_reader.answered_at() < max_answer_age;
+}
+
+void node_control::set_position(store_position position, time_point_t now)
+{
+    m_position = position;
+    if (now - m_earlier_at.back() >= settle_time)
+    {
+        m_earlier = {m_earlier.back(), position};
+        m_earlier_at = {m_earlier_at.back(), now};
+    }
+}
+
+std::uint64_t node_control::settled_revision() const
+{
+    const auto& earlier = m_earlier.front();
+    return earlier.era != 0 && earlier.era == m_store.era() ? earlier.revision
+                                                            : 0;
+}
+
+void node_control::reach(std::uint64_t revision)
+{
+    const auto now = time_point_t::clock::now();
+    set_position({m_store.era(), revision}, now);
+    bool changed = false;
+    for (auto& [at, change] : m_changes)
+        if (change.position == 0)
+        {
+            change.position = revision;
+            changed = true;
+        }
+    while (!m_changes.empty() &&
+           (m_changes.size() > max_changes ||
+            now - m_changes.front().first > change_retention))
+        m_changes.pop_front();
+    if (!changed)
+        return;
+    publish();
+    m_peers.hasten_heartbeat();
+}
+
+void node_control::add_changes(peer_news& news, time_point_t since) const
+{
+    news.position = m_position;
+    for (const auto& [at, change] : m_changes)
+        if (at >= since && change.position != 0)
+            news.changes.push_back(change);
+}
+
+void node_control::apply_change(const endpoint_change& change, time_point_t now)
+{
+    if (!change.gone)
+    {
+        upsert_endpoint(m_endpoints, change.entry, now);
+        return;
+    }
+    remove_endpoint(m_endpoints, change.entry.id, now);
+    const auto found = m_endpoints.endpoints.find(change.entry.id);
+    if (found == m_endpoints.endpoints.end() || !found->second.gone)
+        return;
+    found->second.lapsed = change.lapsed;
+    // The reader has seen the outage, which may have been short.
+    if (change.lapsed && m_endpoints.reachable)
+        m_endpoints.back_since = now;
+}
+
+void node_control::compare_distant(const peer_news& news, time_point_t now)
+{
+    if (!news.sender.fresh || news.position < m_position)
+        return;
+    if (news.sender.state_digest == state_digest())
+    {
+        m_ahead_since = {};
+        confirm(news, now);
+        return;
+    }
+    // Mostly the reader of the own zone tells the same at the same time.
+    if (m_ahead_since == time_point_t{})
+        m_ahead_since = now;
+    if (now - m_ahead_since >= peer_fetch_delay)
+        m_peers.request_state(m_members.address_of(news.sender.host));
+}
+
+void node_control::confirm(const peer_news& news, time_point_t now)
+{
+    set_position(news.position, now);
+    if (news.sender.state_age)
+        m_confirmed_at = std::max(m_confirmed_at, now - *news.sender.state_age);
+}
+
+void node_control::apply_changes(const peer_news& news)
+{
+    const auto now = time_point_t::clock::now();
+    if (!news.complete || !news.hub || reads_store(now))
+        return;
+    if (news.sender.zone != m_settings.zone)
+        return compare_distant(news, now);
+    if (news.sender.fresh || !store_is_current(now))
+        record_store_call(m_endpoints, news.sender.fresh, now);
+    if (news.position.revision == 0 || news.position < m_position)
+        return;
+    bool changed = false;
+    if (m_endpoints_known && news.position.era == m_position.era)
+        for (const auto& each : news.changes)
+            if (each.position > m_position.revision)
+            {
+                apply_change(each, now);
+                changed = true;
+            }
+    if (changed)
+        publish();
+    if (!m_endpoints_known || news.sender.state_digest != state_digest())
+    {
+        m_peers.request_state(m_members.address_of(news.sender.host));
+        return;
+    }
+    m_ahead_since = {};
+    confirm(news, now);
+}
+
+void node_control::choose_reader(time_point_t now)
+{
+    std::vector<reader_candidate> zone{
+        {m_settings.host, m_identity.capacity, m_reader.failing()}};
+    for (const auto* const each : m_members.live_reports(now))
+        if (each->started != 0 && each->zone == m_settings.zone)
+            zone.push_back({each->host, each->capacity, each->store_failing});
+    // Nobody else is known right after the start.
+    if (now - m_started < introduction)
+        return;
+    m_reader.decide(zone, m_configuration != nullptr && m_endpoints_known,
+                    confirmed_at(), now);
+    m_members.set_speaks(m_reader.chosen());
+    const bool current = store_is_current(now);
+    if (current && !std::exchange(m_was_current, current))
+        m_escrow.on_store_back();
+    m_was_current = current;
 }
 
 void node_control::apply_configuration(const std::string& spec)
@@ -428,7 +651,7 @@
     for (const auto& [id, known] : m_endpoints.endpoints)
         if (!known.gone)
             text.append(id).append(known.entry.leaving ? "-" : "+");
-    for (const auto& each : m_moves.moves(m_store_answered_at))
+    for (const auto& each : m_moves.moves(time_point_t()))
         text.append(each.order.service)
             .append(each.order.target)
             .append(
@@ -451,6 +674,11 @@
     heartbeat.limits = m_limits.shared(now);
     heartbeat.brittle = m_brittle.shared(now);
     heartbeat.relay_port = m_relay_port;
+    if (m_endpoints_known)
+        heartbeat.state_age = std::chrono::duration_cast<milliseconds>(
+            std::max(now - confirmed_at(), time_point_t::duration::zero()));
+    heartbeat.store_failing = m_reader.failing();
+    heartbeat.store_era = m_store.era();
     return heartbeat;
 }
 
@@ -463,7 +691,7 @@
         if (!known.gone)
             state.endpoints.push_back(known.entry);
     state.moves = m_moves.moves(time_point_t::clock::now());
-    state.reports = m_members.shared_reports();
+    state.position = m_position;
     return state;
 }
 
@@ -492,15 +720,27 @@
     }
 }
 
+void node_control::tell_era()
+{
+    if (m_told_era == m_store.era())
+        return;
+    // What each host holds must be known before anything is drawn.
+    m_told_era = m_store.era();
+    m_peers.hasten_heartbeat();
+    m_escrow.on_store_back();
+}
+
 void node_control::compare_state(const peer_heartbeat& heartbeat)
 {
     const auto now = time_point_t::clock::now();
+    m_store.learn_era(heartbeat.store_era);
+    tell_era();
     const auto version = m_configuration ? m_configuration->version : 0;
     if (heartbeat.configuration > version)
     {
         if (m_behind_since == time_point_t{})
             m_behind_since = now;
-        if (now - m_behind_since >= peer_fetch_delay)
+        if (!reads_store(now) || now - m_behind_since >= peer_fetch_delay)
             m_peers.request_state(m_members.address_of(heartbeat.host));
     }
     else if (heartbeat.fresh && !store_is_current(now) &&
@@ -511,17 +751,32 @@
 void node_control::apply_peer_state(const peer_state& state)
 {
     const auto now = time_point_t::clock::now();
-    m_members.merge_reports(state.reports);
+    if (!state.reports.empty())
+        return m_members.repair(state.reports);
     if (!state.configuration.empty() &&
         (!m_configuration || state.version > m_configuration->version))
         apply_configuration(state.configuration);
-    // Endpoints and moves of the store are newer than a peer's copy.
-    if (store_is_current(now))
+    // Endpoints and moves of the store are newer than a peer's copy, and so is
+    // what a peer had later.
+    const auto& position = state.position;
+    if (reads_store(now) || (position.revision == 0 ? store_is_current(now)
+                                                    : position < m_position))
         return;
-    replace_endpoints(m_endpoints, state.endpoints, now);
+    if (m_endpoints_known && m_position.era != 0 &&
+        position.era > m_position.era)
+        restore_endpoints(m_endpoints, state.endpoints, now);
+    else
+        replace_endpoints(m_endpoints, state.endpoints, now);
+    set_position(std::max(m_position, position), now);
     m_endpoints_known = true;
+    m_moves_known = true;
+    std::set<std::string> services;
+    for (const auto& each : state.moves)
+        services.insert(each.order.service);
+    m_moves.retain(services);
     for (const auto& each : state.moves)
-        m_moves.apply_order(each.order, now - each.elapsed);
+        m_moves.apply_order(each.order, now - each.elapsed,
+                            each.era != 0 ? each.era : m_store.era());
     publish();
 }
 
@@ -676,16 +931,26 @@
             next_log = now + log_interval;
             m_escrow.log_calls();
             m_members.log_counts();
-            spdlog::info("event=store_calls list={} watch={} budget={} move={}",
-                         m_store.calls(call_purpose::list),
-                         m_store.calls(call_purpose::watch),
-                         m_store.calls(call_purpose::budget),
-                         m_store.calls(call_purpose::move));
+            spdlog::info(
+                "event=store_calls list={} watch={} budget={} move={} "
+                "probe={} reads={} failing={} state_age_ms={} "
+                "position={}",
+                m_store.calls(call_purpose::list),
+                m_store.calls(call_purpose::watch),
+                m_store.calls(call_purpose::budget),
+                m_store.calls(call_purpose::move),
+                m_store.calls(call_purpose::probe), m_reader.reads(),
+                m_reader.failing(),
+                std::chrono::duration_cast<milliseconds>(now - confirmed_at())
+                    .count(),
+                m_position.revision);
         }
         m_members.tick();
         record_live_hosts(now);
+        choose_reader(now);
+        tell_era();
         publish_hosts();
-        m_moves.tick(now);
+        m_moves.tick(now, m_reader.reads());
         m_crashes.update(now);
         publish_crashes(now);
         forget_gone_limits();
@@ -699,6 +964,9 @@
             m_published_endpoints = std::move(endpoints);
             splits = std::move(next_splits);
             publish();
+            // Endpoints of the old version stop once a move has succeeded.
+            if (m_reader.reads())
+                m_peers.hasten_heartbeat();
         }
     }
 }
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <array>      // array
+#include <cstdint>    // uint64_t
+#include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
 #include <set>        // set
 #include <string>     // string
+#include <utility>    // pair
 
 #include <boost/asio/awaitable.hpp>    // awaitable
 #include <boost/asio/io_context.hpp>   // io_context
@@ -23,6 +27,7 @@
 #include "limit_pool.hpp"                 // limit_pool
 #include "member_keeper.hpp"              // member_keeper
 #include "move_keeper.hpp"                // move_keeper
+#include "store_reader.hpp"               // store_reader
 #include "witness_keeper.hpp"             // witness_keeper
 
 namespace rhubarbgrade
@@ -104,11 +109,35 @@
     void record_live_hosts(time_point_t now);
     /// Compares a host's state with the own one; requests it if it is newer.
     void compare_state(const peer_heartbeat& heartbeat);
+    /// Acts on an era of the store that this host has just learned of.
+    void tell_era();
     /// Publishes the hosts if they have changed.
     void publish_hosts();
     void apply_peer_state(const peer_state& state);
     void record_store_answer(bool answered);
+    /// When this host's state was the store's, at least.
+    time_point_t confirmed_at() const;
     bool store_is_current(time_point_t now) const;
+    /// Whether this host reads the store itself and gets answers.
+    bool reads_store(time_point_t now) const;
+    /// Adds this host's changes of the endpoints to the news for its zone.
+    void add_changes(peer_news& news, time_point_t since) const;
+    /// Applies the changes that a hub has sent; requests its state if they are
+    /// not all that is missing.
+    void apply_changes(const peer_news& news);
+    void apply_change(const endpoint_change& change, time_point_t now);
+    /// Requests the state of a hub of another zone that has been ahead of this
+    /// host for a while: the reader of the own zone has failed.
+    void compare_distant(const peer_news& news, time_point_t now);
+    /// This host has the state that a hub tells of.
+    void confirm(const peer_news& news, time_point_t now);
+    /// All changes of the endpoints up to a revision have been reported.
+    void reach(std::uint64_t revision);
+    void choose_reader(time_point_t now);
+    void set_position(store_position position, time_point_t now);
+    /// Revision up to which changes of all kinds are known here, even if others
+    /// have read them; 0: not known.
+    std::uint64_t settled_revision() const;
     std::uint64_t state_digest() const;
     peer_heartbeat make_heartbeat();
     peer_state make_state() const;
@@ -132,6 +161,7 @@
     node_identity m_identity;
     traffic_callbacks m_traffic;
     store_client m_store;
+    store_reader m_reader;
     witness_keeper m_witnesses;
     escrow_keeper m_escrow;
     move_keeper m_moves;
@@ -153,10 +183,21 @@
     std::set<std::string> m_host_ips;
     std::uint16_t m_relay_port = 0; ///< of this host
     std::size_t m_host_count = assumed_host_count;
-    time_point_t m_store_answered_at{}; ///< last response of the store
+    const time_point_t m_started;
+    time_point_t m_confirmed_at; ///< by a peer; see confirmed_at
+    store_position m_position;   ///< of the endpoints
+    /// Two earlier ones, some seconds apart, and when they were reached.
+    std::array<store_position, 2> m_earlier{};
+    std::array<time_point_t, 2> m_earlier_at{};
+    /// Changes of the endpoints that this host has read, and when.
+    std::deque<std::pair<time_point_t, endpoint_change>> m_changes;
+    time_point_t m_ahead_since{};  ///< first news of a distant hub ahead
     time_point_t m_behind_since{}; ///< first heartbeat with a newer version
     bool m_configuration_overdue = false; ///< refuses requests meanwhile
+    bool m_was_current = false;           ///< the state, at the last tick
     bool m_endpoints_known = false;
+    bool m_moves_known = false;
+    std::uint64_t m_told_era = 0;   ///< of the store, in heartbeats
     std::uint64_t m_listed_era = 0; ///< of the store's last endpoint list
 
     /// Fleet size that limits are divided by until the account in the store has
--- /dev/null
+++ b/src/node/store_reader.cpp
@@ -0,0 +1,127 @@
+#include "store_reader.hpp"
+
+#include <algorithm> // any_of, min
+#include <chrono>    // duration_cast
+#include <utility>   // move
+
+#include <boost/asio/as_tuple.hpp>      // as_tuple
+#include <boost/asio/steady_timer.hpp>  // steady_timer
+#include <boost/asio/use_awaitable.hpp> // use_awaitable
+#include <spdlog/spdlog.h>              // info
+
+#include <platform/store_calls.hpp>          // list_target, move_kind
+#include <rhubarbgrade/detail/base/hash.hpp> // hash64
+
+#include "../store/store_client.hpp" // store_client
+
+namespace rhubarbgrade
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Time between two signs of life, so that a host whose path is back acts on
+/// the store's state within the contact bound.
+constexpr milliseconds probe_interval{1000};
+constexpr milliseconds probe_timeout{700};
+
+/// The first pause after a failed call; it doubles up to the interval.
+constexpr milliseconds min_probe_pause{200};
+
+/// Consecutive calls that fail until the host says so.
+constexpr int failures_to_tell = 2;
+
+/// Range over which hosts whose state gets old begin to read, so that the first
+/// ones can tell the others.
+constexpr milliseconds::rep stagger_ms = 1000;
+
+} // namespace
+
+store_reader::store_reader(asio::any_io_executor executor, store_client& store,
+                           std::string host, std::function<void()> changed)
+    : m_store(store),
+      m_host(std::move(host)),
+      m_changed(std::move(changed)),
+      m_gate(std::move(executor))
+{
+}
+
+void store_reader::record_answer(bool answered, time_point_t now)
+{
+    m_failures = answered ? 0 : m_failures + 1;
+    if (answered)
+        m_answered_at = now;
+    else
+        m_suspect = true;
+    const bool failing = m_failing ? !answered : m_failures >= failures_to_tell;
+    if (failing == m_failing)
+        return;
+    m_failing = failing;
+    spdlog::info("event=store_{} failures={} reads={}",
+                 failing ? "failing" : "answers", m_failures, reads());
+    m_changed();
+}
+
+void store_reader::decide(std::span<const reader_candidate> zone,
+                          bool knows_state, time_point_t confirmed_at,
+                          time_point_t now)
+{
+    const auto chosen = choose_reader(zone);
+    const bool others_try = std::any_of(zone.begin(), zone.end(),
+                                        [](const auto& each)
+                                        {
+                                            return each.failing;
+                                        });
+    m_chosen = chosen == m_host;
+    const milliseconds stagger(
+        static_cast<milliseconds::rep>(hash64(m_host) % stagger_ms));
+    const bool reads = reads_store(
+        {m_chosen, others_try, knows_state, confirmed_at, stagger}, now);
+    if (reads == m_gate.open())
+        return;
+    spdlog::info(
+        "event=store_reader reads={} chosen={} failing={} "
+        "state_age_ms={}",
+        reads, chosen, m_failing,
+        std::chrono::duration_cast<milliseconds>(now - confirmed_at).count());
+    m_gate.set_open(reads);
+    m_changed();
+}
+
+milliseconds store_reader::next_probe()
+{
+    if (m_failures == 0)
+        return probe_interval;
+    constexpr int max_doublings = 3;
+    const auto pause =
+        std::min(probe_interval,
+                 min_probe_pause * (1 << std::min(m_failures, max_doublings)));
+    std::uniform_int_distribution<milliseconds::rep> jitter(0,
+                                                            pause.count() / 2);
+    return pause / 2 + milliseconds(jitter(m_random));
+}
+
+asio::awaitable<void> store_reader::probe()
+{
+    for (;;)
+    {
+        co_await m_gate.pause(next_probe());
+        if (!reads() && !m_failing)
+            continue;
+        auto target = platform::list_target(platform::move_kind, "", true);
+        const auto answer = co_await m_store.call(
+            call_purpose::probe, boost::beast::http::verb::get,
+            std::move(target), {}, probe_timeout);
+        const bool suspect = m_suspect;
+        record_answer(answer.is(200), time_point_t::clock::now());
+        if (!answer.is(200) || !suspect)
+            continue;
+        m_suspect = false;
+        m_gate.renew();
+        m_store.abort_watches();
+    }
+}
+
+} // namespace rhubarbgrade
--- /dev/null
+++ b/src/node/store_reader.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <functional> // function
+#include <random>     // minstd_rand
+#include <span>       // span
+#include <string>     // string
+
+#include <boost/asio/any_io_executor.hpp> // any_io_executor
+#include <boost/asio/awaitable.hpp>       // awaitable
+
+#include <rhubarbgrade/detail/membership/reader_choice.hpp> // reader_candidate
+
+#include "../store/watch_gate.hpp" // watch_gate
+
+namespace rhubarbgrade
+{
+
+class store_client;
+
+/// @brief Decides whether this host reads the store for others, and finds out
+///        whether the store answers it. Used on the control thread only.
+///
+/// Watches wait for long, so a path that is broken meanwhile is found by a
+/// cheap call each second: after a failed call, the first one that succeeds
+/// ends the watches that wait, and they start again.
+class store_reader
+{
+public:
+    /// @param[in] host     name of this host
+    /// @param[in] changed  called when the store has begun or ceased to answer
+    store_reader(boost::asio::any_io_executor executor, store_client& store,
+                 std::string host, std::function<void()> changed);
+
+    watch_gate& gate()
+    {
+        return m_gate;
+    }
+
+    /// @brief Whether this host reads the store itself.
+    bool reads() const
+    {
+        return m_gate.open();
+    }
+
+    /// @brief Whether it reads for the hosts of its zone, too.
+    bool chosen() const
+    {
+        return m_chosen;
+    }
+
+    /// @brief Whether the store doesn't answer this host, as far as it knows.
+    bool failing() const
+    {
+        return m_failing;
+    }
+
+    /// @brief Last answer of the store to a call that asks for the present
+    ///        state, or that shows that a waiting watch still stands.
+    time_point_t answered_at() const
+    {
+        return m_answered_at;
+    }
+
+    /// @brief Records the end of a call to the store.
+    void record_answer(bool answered, time_point_t now);
+
+    /// @brief Decides anew whether this host reads.
+    /// @param[in] zone          live hosts of the zone, this one included
+    /// @param[in] knows_state   whether it has a configuration and endpoints
+    /// @param[in] confirmed_at  when its state was the store's, at least
+    void decide(std::span<const reader_candidate> zone, bool knows_state,
+                time_point_t confirmed_at, time_point_t now);
+
+    /// @brief Asks the store for a sign of life while this host reads it, or
+    ///        tries to; never returns.
+    boost::asio::awaitable<void> probe();
+
+private:
+    milliseconds next_probe();
+
+    store_client& m_store;
+    std::string m_host;
+    std::function<void()> m_changed;
+    watch_gate m_gate;
+    std::minstd_rand m_random{std::random_device{}()};
+    time_point_t m_answered_at{};
+    int m_failures = 0; ///< consecutive
+    bool m_chosen = false;
+    bool m_failing = false; ///< told to the other hosts
+    bool m_suspect = false; ///< a call has failed since the watches began
+};
+
+} // namespace rhubarbgrade
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -38,7 +38,10 @@
 /// Time from an event that peers must know at once to the heartbeat.
 constexpr milliseconds hastened_period{50};
 
-/// A peer's state is a few kilobytes.
+constexpr const char* state_target = "/state";
+constexpr const char* reports_target = "/reports";
+
+/// A peer's state is some ten kilobytes.
 constexpr milliseconds state_request_timeout{700};
 
 constexpr std::size_t max_datagram_bytes = 60000;
@@ -184,15 +187,26 @@
     if (m_fetching || address.port == 0)
         return;
     m_fetching = true;
-    spawn(m_loop, fetch_state(address), "state request to a peer");
+    spawn(m_loop, fetch_state(address, state_target),
+          "state request to a peer");
+}
+
+void peer_exchange::request_reports(const socket_address& address)
+{
+    if (m_fetching || address.port == 0)
+        return;
+    m_fetching = true;
+    spawn(m_loop, fetch_state(address, reports_target),
+          "request of reports to a peer");
 }
 
-asio::awaitable<void> peer_exchange::fetch_state(socket_address address)
+asio::awaitable<void> peer_exchange::fetch_state(socket_address address,
+                                                 std::string target)
 {
     const auto link =
         std::make_shared<http_link>(m_loop.get_executor(), address);
-    const auto answer = co_await link->call(http::verb::get, "/state", {},
-                                            state_request_timeout);
+    const auto answer = co_await link->call(http::verb::get, std::move(target),
+                                            {}, state_request_timeout);
     m_fetching = false;
     if (!answer.is(200))
         co_return;
@@ -225,8 +239,10 @@
     if (fault)
         co_return;
     http::response<http::string_body> answer(http::status::ok, http_1_1);
-    if (state_request.target() == "/state")
+    if (state_request.target() == state_target)
         answer.body() = encode_state(m_listener.current_state());
+    else if (state_request.target() == reports_target)
+        answer.body() = encode_state(m_listener.current_reports());
     else
         answer.result(http::status::not_found);
     answer.keep_alive(false);
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -31,6 +31,8 @@
     std::function<void()> heartbeat_due;
     /// Returns the state to send to a peer that requests it.
     std::function<peer_state()> current_state;
+    /// The same with nothing but the reports on all hosts.
+    std::function<peer_state()> current_reports;
     std::function<void(const peer_heartbeat&)> heartbeat_received;
     std::function<void(const peer_news&)> news_received;
     /// Handles a request or a confirmation of a spending ceiling.
@@ -84,6 +86,10 @@
     ///        triggers a new request.
     void request_state(const socket_address& address);
 
+    /// @brief Requests the reports on all hosts that the host at an address
+    ///        has; otherwise as @ref request_state.
+    void request_reports(const socket_address& address);
+
 private:
     boost::asio::awaitable<void> send_heartbeats();
     boost::asio::awaitable<void> receive_datagrams();
@@ -92,7 +98,8 @@
     boost::asio::awaitable<void> accept_state_requests();
     boost::asio::awaitable<void>
     answer_state_request(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> fetch_state(socket_address address);
+    boost::asio::awaitable<void> fetch_state(socket_address address,
+                                             std::string target);
 
     boost::asio::io_context& m_loop;
     const node_settings& m_settings;
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -81,6 +81,9 @@
   zone @15 :Text;
   capacity @16 :Float64;
   asksHub @17 :Bool;         # the sender takes the receiver for a hub
+  stateAge @18 :UInt32;      # of its state, ms plus one; 0: unknown
+  storeFailing @19 :Bool;    # the store doesn't answer the sender
+  storeEra @20 :UInt64;      # the latest that the sender knows
 }
 
 # A host's report as others pass it on.
@@ -108,6 +111,19 @@
   evidence @5 :List(MoveEvidence);
   # News comes in parts if it is long; the last one completes it.
   complete @6 :Bool;
+  # Era and revision of the store that the sender's endpoints have reached, and
+  # what has changed lately.
+  era @7 :UInt64;
+  position @8 :UInt64;
+  changes @9 :List(EndpointChange);
+}
+
+# A change of the list of endpoints.
+struct EndpointChange {
+  endpoint @0 :Endpoint;
+  gone @1 :Bool;
+  lapsed @2 :Bool;           # around an outage of the store
+  position @3 :UInt64;       # revision at which a host learned of it
 }
 
 # One run of a host's process; each start has a new incarnation.
@@ -220,6 +236,7 @@
   revision @4 :UInt64;
   created @5 :UInt64;
   elapsedMs @6 :Int64;  # since the order was first seen
+  era @7 :UInt64;       # of the store that had the order; 0: not known
 }
 
 # A host's whole state, the answer to a peer that has missed changes.
@@ -229,4 +246,7 @@
   endpoints @2 :List(Endpoint);
   moves @3 :List(Move);
   reports @4 :List(Report);
+  # Of the store that the endpoints are from; 0: not known.
+  era @5 :UInt64;
+  position @6 :UInt64;
 }
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -27,6 +27,7 @@
 CAPNP_DECLARE_SCHEMA(d119b18f8e63430c);
 CAPNP_DECLARE_SCHEMA(8ebd19b3eac80610);
 CAPNP_DECLARE_SCHEMA(9d987bbd9ae6804e);
+CAPNP_DECLARE_SCHEMA(d5c7b136204f4b12);
 CAPNP_DECLARE_SCHEMA(af4f3e7e93d9b8eb);
 CAPNP_DECLARE_SCHEMA(db60faeca94cec2c);
 CAPNP_DECLARE_SCHEMA(9a92a7cf05cb0dcc);
@@ -167,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 7, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,7 +213,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d987bbd9ae6804e, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9d987bbd9ae6804e, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointChange {
+  EndpointChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5c7b136204f4b12, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -386,7 +402,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a379538d84b5d8a5, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a379538d84b5d8a5, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -401,7 +417,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a37b49712a7118a8, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a37b49712a7118a8, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1153,6 +1169,12 @@
 
   inline bool getAsksHub() const;
 
+  inline  ::uint32_t getStateAge() const;
+
+  inline bool getStoreFailing() const;
+
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1271,6 +1293,15 @@
   inline bool getAsksHub();
   inline void setAsksHub(bool value);
 
+  inline  ::uint32_t getStateAge();
+  inline void setStateAge( ::uint32_t value);
+
+  inline bool getStoreFailing();
+  inline void setStoreFailing(bool value);
+
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1509,6 +1540,13 @@
 
   inline bool getComplete() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getPosition() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1612,19 @@
   inline bool getComplete();
   inline void setComplete(bool value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1601,6 +1652,103 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndpointChange::Reader {
+public:
+  typedef EndpointChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::rhubarbgrade::peer_protocol::Endpoint::Reader getEndpoint() const;
+
+  inline bool getGone() const;
+
+  inline bool getLapsed() const;
+
+  inline  ::uint64_t getPosition() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointChange::Builder {
+public:
+  typedef EndpointChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::rhubarbgrade::peer_protocol::Endpoint::Builder getEndpoint();
+  inline void setEndpoint( ::rhubarbgrade::peer_protocol::Endpoint::Reader value);
+  inline  ::rhubarbgrade::peer_protocol::Endpoint::Builder initEndpoint();
+  inline void adoptEndpoint(::capnp::Orphan< ::rhubarbgrade::peer_protocol::Endpoint>&& value);
+  inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Endpoint> disownEndpoint();
+
+  inline bool getGone();
+  inline void setGone(bool value);
+
+  inline bool getLapsed();
+  inline void setLapsed(bool value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointChange::Pipeline {
+public:
+  typedef EndpointChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::rhubarbgrade::peer_protocol::Endpoint::Pipeline getEndpoint();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Process::Reader {
 public:
   typedef Process Reads;
@@ -2783,6 +2931,8 @@
 
   inline  ::int64_t getElapsedMs() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2840,6 +2990,9 @@
   inline  ::int64_t getElapsedMs();
   inline void setElapsedMs( ::int64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2897,6 +3050,10 @@
   inline bool hasReports() const;
   inline  ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getPosition() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2956,6 +3113,12 @@
   inline void adoptReports(::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::Report,  ::capnp::Kind::STRUCT>> disownReports();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3994,6 +4157,48 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Beat::Reader::getStateAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Beat::Builder::getStateAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStateAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getStoreFailing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getStoreFailing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStoreFailing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasBeat() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4287,6 +4492,149 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t News::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t News::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t News::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t News::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool News::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Reader News::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Builder News::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setChanges( ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>::Builder News::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>> News::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rhubarbgrade::peer_protocol::EndpointChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointChange::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointChange::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rhubarbgrade::peer_protocol::Endpoint::Reader EndpointChange::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rhubarbgrade::peer_protocol::Endpoint::Builder EndpointChange::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rhubarbgrade::peer_protocol::Endpoint::Pipeline EndpointChange::Pipeline::getEndpoint() {
+  return  ::rhubarbgrade::peer_protocol::Endpoint::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EndpointChange::Builder::setEndpoint( ::rhubarbgrade::peer_protocol::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rhubarbgrade::peer_protocol::Endpoint::Builder EndpointChange::Builder::initEndpoint() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointChange::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rhubarbgrade::peer_protocol::Endpoint> EndpointChange::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::rhubarbgrade::peer_protocol::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointChange::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndpointChange::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChange::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointChange::Reader::getLapsed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndpointChange::Builder::getLapsed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChange::Builder::setLapsed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EndpointChange::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointChange::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChange::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Process::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5943,6 +6291,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Move::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Move::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Move::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool State::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6093,6 +6455,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t State::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t State::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void State::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t State::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t State::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void State::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -105,6 +105,7 @@
     to.setRevision(from.order.revision);
     to.setCreated(from.order.created);
     to.setElapsedMs(from.elapsed.count());
+    to.setEra(from.era);
 }
 
 shared_move read_move(wire::Move::Reader from)
@@ -117,6 +118,7 @@
     decoded.order.revision = from.getRevision();
     decoded.order.created = from.getCreated();
     decoded.elapsed = milliseconds(from.getElapsedMs());
+    decoded.era = from.getEra();
     return decoded;
 }
 
@@ -259,6 +261,9 @@
     if (std::isfinite(root.getCapacity()))
         heartbeat.capacity = root.getCapacity();
     heartbeat.asks_hub = root.getAsksHub();
+    heartbeat.state_age = read_age(root.getStateAge());
+    heartbeat.store_failing = root.getStoreFailing();
+    heartbeat.store_era = root.getStoreEra();
     return heartbeat;
 }
 
@@ -284,6 +289,9 @@
     root.setZone(heartbeat.zone);
     root.setCapacity(heartbeat.capacity);
     root.setAsksHub(heartbeat.asks_hub);
+    root.setStateAge(write_age(heartbeat.state_age));
+    root.setStoreFailing(heartbeat.store_failing);
+    root.setStoreEra(heartbeat.store_era);
 }
 
 capnp::Data::Reader data_of(const std::string& bytes)
@@ -328,6 +336,11 @@
     for (const auto each : from.getEvidence())
         decoded.evidence.push_back(read_evidence(each));
     decoded.complete = from.getComplete();
+    decoded.position = {from.getEra(), from.getPosition()};
+    for (const auto each : from.getChanges())
+        decoded.changes.push_back({read_endpoint(each.getEndpoint()),
+                                   each.getGone(), each.getLapsed(),
+                                   each.getPosition()});
     return decoded;
 }
 
@@ -470,6 +483,16 @@
     for (unsigned j = 0; j < evidence.size(); ++j)
         write_evidence(evidence[j], from.evidence[j]);
     root.setComplete(from.complete);
+    root.setEra(from.position.era);
+    root.setPosition(from.position.revision);
+    auto changes = root.initChanges(size_of(from.changes));
+    for (unsigned j = 0; j < changes.size(); ++j)
+    {
+        write_endpoint(changes[j].initEndpoint(), from.changes[j].entry);
+        changes[j].setGone(from.changes[j].gone);
+        changes[j].setLapsed(from.changes[j].lapsed);
+        changes[j].setPosition(from.changes[j].position);
+    }
     return flatten(message);
 }
 
@@ -583,6 +606,8 @@
     for (unsigned i = 0; i < moves.size(); ++i)
         write_move(moves[i], state.moves[i]);
     write_reports(root.initReports(size_of(state.reports)), state.reports);
+    root.setEra(state.position.era);
+    root.setPosition(state.position.revision);
     return flatten(message);
 }
 
@@ -600,6 +625,7 @@
             for (const auto each : root.getMoves())
                 state.moves.push_back(read_move(each));
             state.reports = read_reports(root.getReports());
+            state.position = {root.getEra(), root.getPosition()};
             return state;
         });
 }
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>  // strong_ordering
 #include <cstdint>  // uint16_t, uint64_t
 #include <map>      // map
 #include <optional> // optional
@@ -86,6 +87,28 @@
     std::string zone;
     double capacity = 0;   ///< see escrow_holding
     bool asks_hub = false; ///< the sender takes the receiver for a hub
+    /// Since the sender's state was the store's; empty if it doesn't tell.
+    std::optional<milliseconds> state_age;
+    bool store_failing = false;  ///< the store doesn't answer the sender
+    std::uint64_t store_era = 0; ///< the latest that the sender knows
+};
+
+/// @brief A change of the list of endpoints, as one host tells others.
+struct endpoint_change
+{
+    endpoint_entry entry;
+    bool gone = false;
+    bool lapsed = false;        ///< removed around an outage of the store
+    std::uint64_t position = 0; ///< revision at which a host learned of it
+};
+
+/// @brief How much of the store's history a list of endpoints contains.
+struct store_position
+{
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0; ///< 0: not known
+
+    auto operator<=>(const store_position&) const = default; // NOLINT
 };
 
 /// @brief A host's report as another one passes it on.
@@ -106,6 +129,8 @@
     std::map<std::string, milliseconds> zones; ///< age of the last contact
     std::vector<shared_evidence> evidence;     ///< sums over many hosts
     bool complete = false;                     ///< the last part of the news
+    store_position position;                   ///< of the sender's endpoints
+    std::vector<endpoint_change> changes;
 };
 
 /// @brief A move as one host has it.
@@ -113,6 +138,7 @@
 {
     move_order order;
     milliseconds elapsed{0}; ///< since the order was first seen
+    std::uint64_t era = 0;   ///< of the store that had it; 0: not known
 };
 
 /// @brief A host's whole state, for a peer that has missed changes.
@@ -123,6 +149,7 @@
     std::vector<endpoint_entry> endpoints;
     std::vector<shared_move> moves;
     std::vector<shared_report> reports; ///< on all hosts
+    store_position position;            ///< of the endpoints
 };
 
 /// @brief Content of one datagram between hosts.
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -3,6 +3,7 @@
 #include <array>   // array
 #include <cstdint> // uint64_t
 #include <memory>  // shared_ptr
+#include <set>     // set
 #include <string>  // string
 #include <vector>  // vector
 
@@ -23,7 +24,7 @@
     watch,
     budget,
     move,
-    membership,
+    probe,
     number_of_purposes,
 };
 
@@ -41,6 +42,12 @@
     call(call_purpose purpose, boost::beast::http::verb verb,
          std::string target, std::string body, milliseconds timeout);
 
+    /// @brief Ends all watches that wait for an answer.
+    void abort_watches();
+
+    /// @brief Another host has been told of an era of the store.
+    void learn_era(std::uint64_t era);
+
     /// @brief The latest era that the store has named.
     std::uint64_t era() const
     {
@@ -59,6 +66,7 @@
     boost::asio::any_io_executor m_executor;
     socket_address m_address;
     std::vector<std::shared_ptr<http_link>> m_idle;
+    std::set<std::shared_ptr<http_link>> m_watches; ///< waiting for an answer
     std::uint64_t m_era = 0;
     std::array<std::uint64_t,
                static_cast<std::size_t>(call_purpose::number_of_purposes)>
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -1,21 +1,18 @@
 #include "watcher.hpp"
 
-#include <chrono>   // duration_cast
-#include <cstdint>  // uint64_t
-#include <iterator> // make_move_iterator
-#include <optional> // optional
-#include <random>   // minstd_rand, uniform_int_distribution
-#include <string>   // string
-#include <utility>  // move
-
-#include <boost/asio/as_tuple.hpp>      // as_tuple
-#include <boost/asio/steady_timer.hpp>  // steady_timer
-#include <boost/asio/this_coro.hpp>     // this_coro
-#include <boost/asio/use_awaitable.hpp> // use_awaitable
+#include <algorithm> // max, min
+#include <chrono>    // duration_cast
+#include <cstdint>   // uint64_t
+#include <iterator>  // make_move_iterator
+#include <optional>  // optional
+#include <random>    // minstd_rand, uniform_int_distribution
+#include <string>    // string
+#include <utility>   // move
 
 #include <spdlog/spdlog.h> // warn
 
 #include "store_client.hpp" // store_client
+#include "watch_gate.hpp"   // watch_gate
 #include "watch_margin.hpp" // next_watch_margin
 
 namespace rhubarbgrade
@@ -28,31 +25,48 @@
 {
 
 /// Time for which the store delays its response to a watch (a long poll) if
-/// nothing changes. A longer time needs fewer calls, which the platform charges
-/// for. But a dead connection is found only after this time and
-/// min_watch_margin, whose sum has to stay below the contact bound, the 3 s
-/// after which hosts must act on the store's state again.
-constexpr milliseconds watch_wait{2000};
+/// nothing changes. Each call is charged for. A connection that has gone dead
+/// meanwhile is found by other calls, which end the watch; see @ref watch_gate.
+constexpr milliseconds watch_wait{8000};
 
 /// Time-out for one page of a list, which may have a megabyte.
 constexpr milliseconds list_timeout{1500};
 
-/// Delay in milliseconds before a failed call is repeated. Up to the same time
-/// is added at random, so that hosts do not retry at the same moment.
-constexpr int retry_pause_ms = 100;
+/// Changes that come this soon after one are reported together with the next.
+constexpr milliseconds batch_time{100};
 
-asio::awaitable<void> wait_before_retry()
+/// Range of the pause before a failed call is repeated. It doubles with each
+/// further failure, and up to the same time is added at random, so that hosts
+/// do not retry at the same moment.
+constexpr milliseconds min_retry_pause{100};
+constexpr milliseconds max_retry_pause{1600};
+
+/// Pauses between failed calls.
+class retry_pauses
 {
-    static std::minstd_rand random(std::random_device{}());
-    std::uniform_int_distribution<int> jitter(0, retry_pause_ms);
-    asio::steady_timer timer(co_await asio::this_coro::executor,
-                             milliseconds(retry_pause_ms + jitter(random)));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
+public:
+    void reset()
+    {
+        m_next = min_retry_pause;
+    }
+
+    milliseconds next()
+    {
+        static std::minstd_rand random(std::random_device{}());
+        std::uniform_int_distribution<milliseconds::rep> jitter(0,
+                                                                m_next.count());
+        const auto pause = m_next + milliseconds(jitter(random));
+        m_next = std::min(2 * m_next, max_retry_pause);
+        return pause;
+    }
+
+private:
+    milliseconds m_next{min_retry_pause};
+};
 
 /// Reads all pages of a list; empty if a call fails or can't be decoded.
 asio::awaitable<std::optional<platform::object_page>>
-list_all(store_client& store, const std::string& kind)
+list_all(store_client& store, const std::string& kind, bool stale_allowed)
 {
     platform::object_page all;
     std::string after;
@@ -60,8 +74,9 @@
     do
     {
         const auto response = co_await store.call(
-            call_purpose::list, verb::get, platform::list_target(kind, after),
-            {}, list_timeout);
+            call_purpose::list, verb::get,
+            platform::list_target(kind, after, stale_allowed), {},
+            list_timeout);
         if (!response.is(200))
             co_return std::nullopt;
         auto page = platform::decode_list(response.body);
@@ -94,21 +109,33 @@
 
 /// Reports changes from a revision on; returns when the kind has to be listed
 /// again: the history is gone, or the store has begun another one.
-asio::awaitable<void> watch_from(store_client& store, const std::string& kind,
+asio::awaitable<void> watch_from(store_client& store, watch_gate& gate,
+                                 const std::string& kind,
                                  const watch_listener& listener,
                                  std::uint64_t revision)
 {
     constexpr unsigned gone = 410;
     const auto era = store.era();
     auto margin = min_watch_margin;
+    retry_pauses pauses;
     for (;;)
     {
+        co_await gate.wait_until_open();
+        if (store.era() != era)
+            co_return;
+        if (listener.known_up_to)
+            revision = std::max(revision, listener.known_up_to());
         const auto started = time_point_t::clock::now();
-        const auto response = co_await store.call(
-            call_purpose::watch, verb::get,
-            platform::watch_target(kind, revision, watch_wait), {},
-            watch_wait + margin);
+        const auto renewals = gate.renewals();
+        auto target = platform::watch_target(kind, revision, watch_wait);
+        const auto response =
+            co_await store.call(call_purpose::watch, verb::get,
+                                std::move(target), {}, watch_wait + margin);
         margin = next_watch_margin(margin, response.end);
+        const bool ended_here = gate.renewals() != renewals &&
+                                response.end != call_outcome::answered;
+        if (ended_here)
+            continue;
         const auto elapsed = std::chrono::duration_cast<milliseconds>(
             time_point_t::clock::now() - started);
         listener.answered(response.is(200) || response.is(gone));
@@ -119,14 +146,15 @@
             spdlog::warn("event=watch_failed kind={} revision={} status={} "
                          "after_ms={}",
                          kind, revision, response.status, elapsed.count());
-            co_await wait_before_retry();
+            co_await gate.pause(pauses.next());
             continue;
         }
+        pauses.reset();
         const auto page = platform::decode_events(response.body);
         if (!page)
         {
             spdlog::warn("{}; listing {} again", page.error().message(), kind);
-            co_await wait_before_retry();
+            co_await gate.pause(pauses.next());
             co_return;
         }
         if (page->unreadable != 0)
@@ -135,25 +163,36 @@
         for (const auto& event : page->events)
             listener.changed(event);
         revision = page->revision;
+        listener.reached(revision);
+        if (!page->events.empty())
+            co_await gate.pause(batch_time);
     }
 }
 
 } // namespace
 
-asio::awaitable<void> list_and_watch(store_client& store, std::string kind,
-                                     watch_listener listener)
+asio::awaitable<void> list_and_watch(store_client& store, watch_gate& gate,
+                                     std::string kind, watch_listener listener)
 {
+    retry_pauses pauses;
     for (;;)
     {
-        auto page = co_await list_all(store, kind);
-        listener.answered(page.has_value());
+        if (!gate.open() && listener.known())
+            co_await gate.wait_until_open();
+        const bool stale_allowed = !gate.open();
+        auto page = co_await list_all(store, kind, stale_allowed);
+        // Without the gate, an answer tells nothing of a later state.
+        if (!stale_allowed)
+            listener.answered(page.has_value());
         if (!page)
         {
-            co_await wait_before_retry();
+            co_await gate.pause(pauses.next());
             continue;
         }
-        listener.snapshot(std::move(page->objects));
-        co_await watch_from(store, kind, listener, page->revision);
+        pauses.reset();
+        if (!stale_allowed || !listener.known())
+            listener.snapshot(std::move(page->objects), page->revision);
+        co_await watch_from(store, gate, kind, listener, page->revision);
     }
 }
 
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -67,7 +67,10 @@
 
     void set_store_fault(const json& fault) const
     {
-        REQUIRE(store_client().Put("/fault", fault.dump(), "application/json"));
+        const auto answer =
+            store_client().Put("/fault", fault.dump(), "application/json");
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
     }
 
     /// Writes of objects of a kind so far: {applied, refused}.
@@ -78,6 +81,14 @@
         return json::parse(answer->body).at(kind);
     }
 
+    /// Charged calls of hosts so far, in tenths of a call; see the stand-in.
+    int store_cost() const
+    {
+        const auto answer = store_client().Get("/cost");
+        REQUIRE(answer);
+        return json::parse(answer->body).at("tenths");
+    }
+
     /// Creates or replaces an object.
     void upsert_object(const std::string& kind, const std::string& name,
                        const json& spec) const
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -358,7 +358,7 @@
         }));
     site.set_store_fault({{"refuse", 503}});
     CHECK(site.call("h1", "/read/x")->status == 200);
-    site.set_store_fault({});
+    site.set_store_fault(json::object());
     site.publish_configuration(
         5, {{"tenants", {{{"name", "clerks"}, {"apiKeys", {"k5"}}}}}});
     for (const auto* name : {"h1", "h2"})
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -8,10 +8,14 @@
 //               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
 //               refused: for an outdated revision
+//   GET /cost  (tests) {tenths}: calls of hosts for objects so far, refused
+//               ones included; one that allows an old response counts one
+//               tenth, others ten
 //
 // Faults do not apply to calls with the header X-Operator; "compact" drops the
 // history that watches read from.
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <deque>
@@ -291,6 +295,12 @@
                      {
                          send_json(response, 200, m_store.calls());
                      });
+        m_server.Get(
+            "/cost",
+            [this](const auto&, auto& response)
+            {
+                send_json(response, 200, {{"tenths", m_tenths.load()}});
+            });
         m_server.Get(R"(/api/objects/([^/]+))",
                      [this](const auto& request, auto& response)
                      {
@@ -351,6 +361,8 @@
     {
         if (request.path == "/fault" || request.has_header("X-Operator"))
             return unhandled;
+        if (request.path.starts_with("/api/objects/"))
+            m_tenths += request.has_param("serializable") ? 1 : 10;
         faults active_faults;
         {
             const std::lock_guard lock(m_mutex);
@@ -454,6 +466,7 @@
     }
 
     store& m_store;
+    std::atomic<std::int64_t> m_tenths = 0; ///< of charged calls
     std::mutex m_mutex;
     faults m_faults;
     json m_addresses = json::object(); ///< by the name of the entry
--- a/tests/unit/unit-members.cpp
+++ b/tests/unit/unit-members.cpp
@@ -76,6 +76,7 @@
             return std::vector<shared_evidence>();
         };
         callbacks.fleet_evidence = callbacks.zone_evidence;
+        callbacks.add_changes = [](peer_news&, time_point_t) {};
         callbacks.send =
             [this, number](const socket_address& to, const std::string& bytes)
         {
@@ -86,11 +87,11 @@
             auto& due = m_hosts[number]->send_at;
             due = std::min(due, m_now + hastened);
         };
-        callbacks.request_state = [this, number](const std::string& from)
+        callbacks.request_reports = [this, number](const std::string& from)
         {
             const auto other = number_of(from);
             if (m_hosts[other]->running && connected(number, other))
-                m_hosts[number]->keeper->merge_reports(
+                m_hosts[number]->keeper->repair(
                     m_hosts[other]->keeper->shared_reports());
         };
         each.content = {};
@@ -208,6 +209,16 @@
                                               }));
     }
 
+    int hubs() const
+    {
+        return static_cast<int>(
+            std::count_if(m_hosts.begin(), m_hosts.end(),
+                          [](const auto& each)
+                          {
+                              return each->keeper->acts_as_hub();
+                          }));
+    }
+
     struct load
     {
         double messages = 0; ///< sent by a host in a second, on average
@@ -351,6 +362,27 @@
     CHECK(fleet.run_until_known(fleet.everybody()) <= milliseconds(5000));
 }
 
+TEST_CASE("hosts that start one after the other know all others, and two are "
+          "hubs",
+          "[members]")
+{
+    const auto seed = GENERATE(1U, 2U, 3U, 4U);
+    constexpr int hosts = 24;
+    simulated_fleet fleet(hosts, {1, 0, seed});
+    for (int i = 0; i < hosts; ++i)
+        fleet.kill(i);
+    for (int i = 0; i < hosts; ++i)
+    {
+        fleet.start(i);
+        fleet.run(milliseconds(150));
+        fleet.read_account();
+    }
+    CHECK(fleet.run_until_known(fleet.everybody()) <= milliseconds(5000));
+    fleet.run(milliseconds(5000));
+    CHECK(fleet.all_know(fleet.everybody()));
+    CHECK(fleet.hubs() == 2);
+}
+
 TEST_CASE("a host's messages do not grow with the fleet", "[members]")
 {
     const auto measure = [](int hosts)
