--- a/review/standins/lab.cpp
+++ b/review/standins/lab.cpp
@@ -49,17 +49,22 @@
 }
 
 /// The first of some ports in a row that are free on an address, below those
-/// that the kernel gives to outgoing connections.
+/// that the kernel gives to outgoing connections. Never the same twice.
 std::uint16_t free_ports(const std::string& ip, std::uint16_t count)
 {
-    constexpr std::uint16_t first_port = 20000;
-    constexpr std::uint16_t last_port = 30000;
-    static std::minstd_rand random(std::random_device{}());
-    std::uniform_int_distribution<std::uint16_t> choose(first_port, last_port);
+    static std::uint16_t next = []
+    {
+        constexpr std::uint16_t first_port = 20000;
+        constexpr std::uint16_t last_port = 30000;
+        std::random_device random;
+        return std::uniform_int_distribution<std::uint16_t>(first_port,
+                                                            last_port)(random);
+    }();
     const auto address = boost::asio::ip::make_address(ip);
     for (;;)
     {
-        const auto first = choose(random);
+        const auto first = next;
+        next = static_cast<std::uint16_t>(next + count);
         bool all_free = true;
         for (std::uint16_t i = 0; i < count && all_free; ++i)
         {
