Judge a new version over all its routes, in evidence of a bounded size

Callers saw: a version of which half of the answers fail was reported as succeeded if its service had many routes (review/1: 3,865 requests too late, 1,406 of 11,240 failed, and half of all from then on).

Cause: a verdict needs a number of requests of the new version, and these were counted by route. At 3% of 400 requests/s over 350 routes no route had enough before the limit, and an inconclusive trial succeeds. Besides, evidence on some 300 routes exceeded a datagram and was dropped with the whole report.

Change: all routes are judged together as well, each compared with itself, for errors and for latency, in the trial and in the product's own moves. Evidence is bounded to 8,000 bytes a message: the routes with least requests are summed up, chosen without a look at their errors. The significance level of single routes is divided among them. event=move_decided tells what a trial was decided on.

Why it works: the time to a verdict depends on the requests of the new version, not on how they are spread.

--- a/include/rhubarbgrade/detail/moves/evidence.hpp
+++ b/include/rhubarbgrade/detail/moves/evidence.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint> // uint64_t
+#include <cstddef> // size_t
 #include <map>     // map
 #include <string>  // string
 
@@ -35,6 +35,9 @@
 /// @brief Evidence of one host on one move, by route.
 using move_evidence_t = std::map<std::string, route_evidence>;
 
+/// @brief Name of the sum of those routes that @ref limit_routes leaves out.
+inline constexpr const char* other_routes = "other routes";
+
 /// @brief Adds one answered request to the sums.
 /// @param[in,out] sums   the sums
 /// @param[in] good       whether it was answered without an error
@@ -53,4 +56,16 @@
 /// @brief Adds another host's evidence.
 void merge(move_evidence_t& sum, const move_evidence_t& other);
 
+/// @brief The sums over all routes.
+route_evidence total(const move_evidence_t& evidence);
+
+/// @brief Keeps the routes with most requests and sums the others up as
+///        @ref other_routes, so that no sample is lost.
+///
+/// Which routes are kept depends on the number of their requests only; a choice
+/// by errors would bias the error rate of the sum over several hosts.
+/// @param[in,out] evidence  the evidence of one host or of several
+/// @param[in] max_bytes     approximate size of the result in a message
+void limit_routes(move_evidence_t& evidence, std::size_t max_bytes);
+
 } // namespace rhubarbgrade
--- a/include/rhubarbgrade/detail/moves/judge.hpp
+++ b/include/rhubarbgrade/detail/moves/judge.hpp
@@ -27,9 +27,18 @@
 ///
 /// The error rates are compared by a sequential probability ratio test, the
 /// latencies by Welch's t-test on their logarithms. One bad route makes the
-/// verdict bad; a good verdict is reached over all routes together.
+/// verdict bad, and so do all routes together, where each is compared with
+/// itself: a verdict takes as many requests on many routes as on one. A good
+/// verdict is reached over all routes together.
 /// @param[in] plan      the move, for its tolerances
 /// @param[in] evidence  merged evidence of all hosts
 judgement judge(const move& plan, const move_evidence_t& evidence);
 
+/// @brief Error rate to expect of a version that fails as often on each route
+///        as the old one, weighted by the new version's requests.
+/// @param[in] evidence  merged evidence of all hosts
+/// @param[in] side      the sums of the new version that give the weights
+double expected_error_rate(const move_evidence_t& evidence,
+                           sample_sums route_evidence::*side);
+
 } // namespace rhubarbgrade
--- a/src/moves/evidence.cpp
+++ b/src/moves/evidence.cpp
@@ -1,7 +1,10 @@
 #include <rhubarbgrade/detail/moves/evidence.hpp>
 
-#include <algorithm> // max
-#include <cmath>     // exp2, log
+#include <algorithm>   // max, stable_sort
+#include <cmath>       // exp2, log
+#include <string_view> // string_view
+#include <utility>     // move
+#include <vector>      // vector
 
 namespace rhubarbgrade
 {
@@ -12,6 +15,9 @@
 constexpr double recent_half_life_s = 3;
 constexpr double min_latency_s = 1e-4;
 
+/// Size in a message of the sums of one route, without its name.
+constexpr std::size_t sums_bytes = 216;
+
 void scale(sample_sums& sums, double factor)
 {
     sums.requests *= factor;
@@ -21,6 +27,19 @@
     sums.timed *= factor;
 }
 
+void add(route_evidence& sum, const route_evidence& other)
+{
+    sum.from += other.from;
+    sum.to += other.to;
+    sum.to_all += other.to_all;
+    sum.to_recent += other.to_recent;
+}
+
+double requests_of(const route_evidence& sides)
+{
+    return sides.from.requests + sides.to_all.requests;
+}
+
 } // namespace
 
 sample_sums& sample_sums::operator+=(const sample_sums& other)
@@ -70,13 +89,52 @@
 void merge(move_evidence_t& sum, const move_evidence_t& other)
 {
     for (const auto& [route, sides] : other)
+        add(sum[route], sides);
+}
+
+route_evidence total(const move_evidence_t& evidence)
+{
+    route_evidence sum;
+    for (const auto& [route, sides] : evidence)
+        add(sum, sides);
+    return sum;
+}
+
+void limit_routes(move_evidence_t& evidence, std::size_t max_bytes)
+{
+    std::vector<move_evidence_t::const_iterator> by_requests;
+    std::size_t bytes = 0;
+    for (auto it = evidence.cbegin(); it != evidence.cend(); ++it)
+    {
+        bytes += sums_bytes + it->first.size();
+        if (it->first != other_routes)
+            by_requests.push_back(it);
+    }
+    if (bytes <= max_bytes)
+        return;
+    std::stable_sort(by_requests.begin(), by_requests.end(),
+                     [](auto left, auto right)
+                     {
+                         return requests_of(left->second) >
+                                requests_of(right->second);
+                     });
+    move_evidence_t kept;
+    auto& others = kept[other_routes];
+    if (const auto found = evidence.find(other_routes); found != evidence.end())
+        others = found->second;
+    bytes = sums_bytes + std::string_view(other_routes).size();
+    for (const auto each : by_requests)
     {
-        auto& mine = sum[route];
-        mine.from += sides.from;
-        mine.to += sides.to;
-        mine.to_all += sides.to_all;
-        mine.to_recent += sides.to_recent;
+        const auto size = sums_bytes + each->first.size();
+        if (bytes + size > max_bytes)
+        {
+            add(others, each->second);
+            continue;
+        }
+        bytes += size;
+        kept.insert(*each);
     }
+    evidence = std::move(kept);
 }
 
 } // namespace rhubarbgrade
--- a/src/moves/trial.cpp
+++ b/src/moves/trial.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbgrade/detail/moves/trial.hpp>
 
-#include <algorithm> // clamp, max
+#include <algorithm> // clamp, count_if, max
 #include <cmath>     // exp, lgamma, log, lround
 
 #include <rhubarbgrade/detail/config/objects.hpp> // move
@@ -21,7 +21,8 @@
 constexpr double error_rise = 0.12;
 
 /// Significance level of one test of the error rate: below it the version is
-/// bad. A trial repeats the test some 60 times.
+/// bad. A trial repeats the test some 60 times. It is divided among the routes,
+/// as each of them may fail by chance.
 constexpr double significance_level = 2e-4;
 
 /// Number of samples needed to judge the error rate.
@@ -32,6 +33,9 @@
 constexpr double prior_samples = 50;
 constexpr double prior_rate = 0.01;
 
+/// Upper bound of the error rate that the old version is taken to have.
+constexpr double max_expected_rate = 0.9;
+
 /// Probability of at least @a errors in @a samples at an error rate of @a rate.
 double binomial_tail(long samples, long errors, double rate)
 {
@@ -45,39 +49,58 @@
     return tail;
 }
 
-bool fails_more(const sample_sums& from, const sample_sums& to)
+/// @param[in] expected  error rate of the old version
+/// @param[in] level     significance level
+bool fails_more(double expected, const sample_sums& to, double level)
 {
     if (to.requests < min_samples)
         return false;
-    const double expected =
-        std::clamp((from.errors + prior_rate * prior_samples) /
-                       (from.requests + prior_samples),
-                   prior_rate, 0.9);
     if (to.errors / to.requests < expected + error_rise)
         return false;
     return binomial_tail(std::lround(to.requests), std::lround(to.errors),
-                         expected) < significance_level;
+                         expected) < level;
+}
+
+bool fails_more(const route_evidence& sides, double level)
+{
+    const double expected =
+        std::clamp((sides.from.errors + prior_rate * prior_samples) /
+                       (sides.from.requests + prior_samples),
+                   prior_rate, max_expected_rate);
+    return fails_more(expected, sides.to_all, level) ||
+           fails_more(expected, sides.to_recent, level);
+}
+
+/// Compares the versions over all routes: a fault shows after as many requests
+/// on many routes as on one.
+bool fails_more(const move_evidence_t& evidence)
+{
+    const auto sum = total(evidence);
+    for (const auto side :
+         {&route_evidence::to_all, &route_evidence::to_recent})
+        if (fails_more(std::clamp(expected_error_rate(evidence, side),
+                                  prior_rate, max_expected_rate),
+                       sum.*side, significance_level))
+            return true;
+    return false;
 }
 
 /// A route on which the new version fails more, over the whole trial or
 /// recently; null if there is none.
 const std::string* failing_route(const move_evidence_t& evidence)
 {
+    const auto tested =
+        std::count_if(evidence.begin(), evidence.end(),
+                      [](const auto& each)
+                      {
+                          return each.second.to_all.requests >= min_samples;
+                      });
     for (const auto& [route, sides] : evidence)
-        if (fails_more(sides.from, sides.to_all) ||
-            fails_more(sides.from, sides.to_recent))
+        if (fails_more(sides, significance_level / static_cast<double>(tested)))
             return &route;
     return nullptr;
 }
 
-double total_samples(const move_evidence_t& evidence)
-{
-    double sum = 0;
-    for (const auto& [route, sides] : evidence)
-        sum += sides.to_all.requests;
-    return sum;
-}
-
 } // namespace
 
 trial_step decide_trial(const move_evidence_t& evidence, milliseconds elapsed,
@@ -85,6 +108,8 @@
 {
     if (const auto* route = failing_route(evidence))
         return {0, order_state::reverted, "errors on " + *route};
+    if (fails_more(evidence))
+        return {0, order_state::reverted, "errors over all routes"};
     move plan;
     plan.slow_tolerance = slow_tolerance;
     const auto judged = judge(plan, evidence);
@@ -94,8 +119,9 @@
         return {1, order_state::succeeded, "no fault within the limit"};
     if (elapsed >= limit - policy.switch_before)
         return {1, order_state::running, {}};
-    return {total_samples(evidence) < policy.first_samples ? policy.warmup_share
-                                                           : policy.share,
+    return {total(evidence).to_all.requests < policy.first_samples
+                ? policy.warmup_share
+                : policy.share,
             order_state::running,
             {}};
 }
--- a/src/node/move_keeper.cpp
+++ b/src/node/move_keeper.cpp
@@ -25,6 +25,10 @@
 /// Time that other hosts leave to the one that writes the end of a move.
 constexpr milliseconds write_delay{300};
 
+/// Size of the evidence on all running moves in one message, a few packets: of
+/// a datagram of many packets one is lost too often.
+constexpr std::size_t max_evidence_bytes = 8000;
+
 /// Age up to which a hub's sum of the evidence is used; hubs send it twice a
 /// second.
 constexpr milliseconds max_fleet_age{1600};
@@ -141,32 +145,43 @@
     return pooled;
 }
 
-std::vector<shared_evidence> move_keeper::pooled_evidence(bool all_zones) const
+std::vector<shared_evidence>
+move_keeper::running_evidence(const evidence_source_t& evidence_of) const
 {
     std::vector<shared_evidence> all;
     for (const auto& [service, each] : m_moves)
         if (each.order.state == order_state::running)
-            all.push_back({service, each.order.target, pool(each, all_zones)});
+            all.push_back({service, each.order.target, evidence_of(each)});
+    for (auto& each : all)
+        limit_routes(each.routes, max_evidence_bytes / all.size());
     return all;
 }
 
 std::vector<shared_evidence> move_keeper::zone_evidence() const
 {
-    return pooled_evidence(false);
+    return running_evidence(
+        [](const auto& each)
+        {
+            return pool(each, false);
+        });
 }
 
 std::vector<shared_evidence> move_keeper::fleet_evidence() const
 {
-    return pooled_evidence(true);
+    return running_evidence(
+        [](const auto& each)
+        {
+            return pool(each, true);
+        });
 }
 
 std::vector<shared_evidence> move_keeper::evidence() const
 {
-    std::vector<shared_evidence> all;
-    for (const auto& [service, each] : m_moves)
-        if (each.order.state == order_state::running)
-            all.push_back({service, each.order.target, each.evidence});
-    return all;
+    return running_evidence(
+        [](const auto& each)
+        {
+            return each.evidence;
+        });
 }
 
 std::vector<shared_move> move_keeper::moves(time_point_t now) const
@@ -202,10 +217,10 @@
                 std::chrono::duration_cast<milliseconds>(now - each.first_seen),
                 each.order.limit, m_policy);
             if (each.step.state != order_state::running)
+            {
                 each.decided_at = now;
-            if (each.step.state != order_state::running)
-                spdlog::info("move of {} to {}: {}", service, each.order.target,
-                             each.step.reason);
+                log_decision(each, pooled, now);
+            }
         }
         if (each.step.state != order_state::running && !each.writing &&
             (first || now - each.decided_at >= write_delay))
@@ -219,6 +234,29 @@
     }
 }
 
+void move_keeper::log_decision(const tracked_move& move,
+                               const move_evidence_t& evidence,
+                               time_point_t now)
+{
+    const auto age = [now](time_point_t at)
+    {
+        return std::chrono::duration_cast<milliseconds>(now - at).count();
+    };
+    const auto sum = total(evidence);
+    spdlog::info(
+        "event=move_decided service={} target={} state={} reason=\"{}\" "
+        "elapsed_ms={} limit_ms={} routes={} from_requests={:.0f} "
+        "from_errors={:.0f} to_requests={:.0f} to_errors={:.0f} "
+        "from_hub={} evidence_age_ms={}",
+        move.order.service, move.order.target,
+        move.step.state == order_state::succeeded ? "succeeded" : "reverted",
+        move.step.reason, age(move.first_seen), move.order.limit.count(),
+        evidence.size(), sum.from.requests, sum.from.errors,
+        sum.to_all.requests, sum.to_all.errors,
+        now - move.fleet_at < max_fleet_age,
+        move.fleet_at == time_point_t{} ? -1 : age(move.fleet_at));
+}
+
 asio::awaitable<void> move_keeper::write_status(std::string service,
                                                 move_order order)
 {
--- a/src/node/move_keeper.hpp
+++ b/src/node/move_keeper.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <map>    // map
-#include <set>    // set
-#include <string> // string
-#include <vector> // vector
+#include <functional> // function
+#include <map>        // map
+#include <set>        // set
+#include <string>     // string
+#include <vector>     // vector
 
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 
@@ -102,7 +103,13 @@
 
     /// Evidence of this host and its peers, and of other zones.
     static move_evidence_t pool(const tracked_move& move, bool all_zones);
-    std::vector<shared_evidence> pooled_evidence(bool all_zones) const;
+    using evidence_source_t =
+        std::function<move_evidence_t(const tracked_move&)>;
+    /// Evidence on the running moves, of a size that fits into a message.
+    std::vector<shared_evidence>
+    running_evidence(const evidence_source_t& evidence_of) const;
+    static void log_decision(const tracked_move& move,
+                             const move_evidence_t& evidence, time_point_t now);
     boost::asio::awaitable<void> write_status(std::string service,
                                               move_order order);
 
