Take the store for away only if no call is answered for a while

Cause: one failed call of the endpoint watch marked the store as away until the next answer of that watch, up to 8 s later. A removal in that time counted as a lapsed entry if over a third of the service's entries were gone, and one of two is.

Change: an outage is 2 s without an answer to any call, as an entry needs to lapse, and every answer ends it, the signs of life too. Whether a host's state is current follows from whether its watches stand; a sign of life proves that only if no call has failed since they began. event=endpoint_removed tells what a removal counts as. Lapsed entries are kept for 2 s after the return, whenever in that time they go.

Why it works: an endpoint that could write its heartbeat has not lapsed.

--- a/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
@@ -42,11 +42,21 @@
     std::map<std::string, listed_endpoint, std::less<>> endpoints;
     /// Removed lately, by id.
     std::map<std::string, former_endpoint, std::less<>> former;
-    time_point_t last_failure{}; ///< last unanswered call to the store
-    time_point_t back_since{};   ///< first answered call after it
-    bool reachable = false;      ///< whether the last call was answered
+    time_point_t last_answer{};   ///< of the store, to any call
+    time_point_t failing_since{}; ///< first unanswered call after it
+    time_point_t back_since{};    ///< first answered call after an outage
+    bool reachable = false;       ///< whether the last call was answered
 };
 
+/// @brief Shortest outage of the store in which an entry can lapse: an entry
+///        that was renewed just before it misses three heartbeats of 1.2 s, one
+///        of which may have been due before the outage. A margin is taken off.
+constexpr milliseconds min_lapse_outage{2000};
+
+/// @brief Time by which a failing call may show an outage late: signs of life
+///        are a second apart, and each has a time-out.
+constexpr milliseconds outage_detection{1700};
+
 /// @brief How long lapsed entries are kept after the store is reachable again.
 constexpr milliseconds lapse_grace{2000};
 
@@ -54,10 +64,15 @@
 ///        three heartbeats of 1.2 s, and a margin.
 constexpr milliseconds entry_lifetime{4000};
 
-/// @brief Records whether a call to the store was answered.
+/// @brief Records whether a call to the store, of any kind, was answered.
 void record_store_call(endpoint_registry& book, bool answered,
                        time_point_t now);
 
+/// @brief Whether the store has been away for so long that entries may lapse.
+///
+/// A call that fails while others are answered is none: a watch may be cut off.
+bool in_outage(const endpoint_registry& book, time_point_t now);
+
 /// @brief Inserts or replaces an entry.
 void upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
                      time_point_t now);
--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbgrade/detail/fleet/endpoint_book.hpp>
 
+#include <algorithm>   // max
 #include <cstddef>     // size_t
 #include <map>         // map
 #include <set>         // set
@@ -13,10 +14,6 @@
 namespace
 {
 
-/// An entry that is removed during an outage of the store, or this soon after
-/// it, may have lapsed only because the endpoint could not write its heartbeat.
-constexpr milliseconds lapse_window{1000};
-
 /// More than one in this many endpoints of a service must vanish for the
 /// entries to count as lapsed. If fewer vanish, the outage may have affected
 /// only this host, and endpoints that have left must get no requests.
@@ -26,9 +23,11 @@
 /// back from is some seconds old.
 constexpr milliseconds former_lifetime{60000};
 
+/// During an outage of the store, and shortly after it, endpoints can't write
+/// their heartbeats, and entries lapse although the endpoints still run.
 bool may_be_lapse(const endpoint_registry& book, time_point_t now)
 {
-    return !book.reachable || now - book.back_since < lapse_window;
+    return in_outage(book, now) || now - book.back_since < lapse_grace;
 }
 
 struct service_count
@@ -54,13 +53,26 @@
 
 void record_store_call(endpoint_registry& book, bool answered, time_point_t now)
 {
-    if (!answered)
-        book.last_failure = now;
-    else if (!book.reachable)
-        book.back_since = now;
+    if (answered)
+    {
+        if (in_outage(book, now))
+            book.back_since = now;
+        book.last_answer = now;
+    }
+    else if (book.reachable || book.failing_since == time_point_t{})
+        book.failing_since = now;
     book.reachable = answered;
 }
 
+bool in_outage(const endpoint_registry& book, time_point_t now)
+{
+    if (book.reachable || book.failing_since == time_point_t{})
+        return false;
+    const auto since =
+        std::max(book.last_answer, book.failing_since - outage_detection);
+    return now - since >= min_lapse_outage;
+}
+
 void upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
                      time_point_t now)
 {
@@ -156,7 +168,7 @@
             now < known.kept_until ||
             (known.lapsed &&
              same_service.lapsed * lapse_divisor > same_service.known &&
-             (!book.reachable || now - book.back_since < lapse_grace));
+             may_be_lapse(book, now));
         if (known.gone && !kept)
         {
             it = book.endpoints.erase(it);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -64,6 +64,14 @@
             .count());
 }
 
+/// Time since @a at, for logs; -1 if it has never been.
+milliseconds::rep age_ms(time_point_t at, time_point_t now)
+{
+    if (at == time_point_t{})
+        return -1;
+    return std::chrono::duration_cast<milliseconds>(now - at).count();
+}
+
 socket_address to_address(const std::string& text)
 {
     auto [ip, port] = split_address(text);
@@ -85,11 +93,17 @@
                  settings.processor_cores * settings.link_mbps},
       m_traffic(std::move(traffic)),
       m_store(loop.get_executor(), settings.store),
-      m_reader(loop.get_executor(), m_store, settings.host,
-               [this]
-               {
-                   m_peers.hasten_heartbeat();
-               }),
+      m_reader(
+          loop.get_executor(), m_store, settings.host,
+          [this]
+          {
+              m_peers.hasten_heartbeat();
+          },
+          [this](bool answered)
+          {
+              record_store_call(m_endpoints, answered,
+                                time_point_t::clock::now());
+          }),
       m_witnesses(loop.get_executor(), m_identity.process, settings.zone,
                   make_witness_callbacks()),
       m_escrow(loop.get_executor(), m_store, m_witnesses, m_identity,
@@ -340,14 +354,18 @@
     {
         const auto now = time_point_t::clock::now();
         if (event.removed)
-        {
             remove_endpoint(m_endpoints, event.object.name, now);
-            spdlog::info("endpoint {} was removed from the store",
-                         event.object.name);
-        }
         else
             apply_endpoint(event.object);
         const auto found = m_endpoints.endpoints.find(event.object.name);
+        if (event.removed)
+            spdlog::info("event=endpoint_removed id={} revision={} lapsed={} "
+                         "outage={} store_back_ms={}",
+                         event.object.name, event.object.revision,
+                         found != m_endpoints.endpoints.end() &&
+                             found->second.lapsed,
+                         in_outage(m_endpoints, now),
+                         age_ms(m_endpoints.back_since, now));
         if (found != m_endpoints.endpoints.end())
             m_changes.push_back({now,
                                  {found->second.entry, found->second.gone,
@@ -356,7 +374,6 @@
     listener.answered = [this](bool answered)
     {
         record_store_answer(answered);
-        record_store_call(m_endpoints, answered, time_point_t::clock::now());
     };
     return listener;
 }
@@ -418,12 +435,14 @@
 
 bool node_control::store_is_current(time_point_t now) const
 {
-    return m_endpoints.reachable && now - confirmed_at() < max_answer_age;
+    const bool answers =
+        m_reader.reads() ? m_reader.watches_stand() : m_endpoints.reachable;
+    return answers && now - confirmed_at() < max_answer_age;
 }
 
 bool node_control::reads_store(time_point_t now) const
 {
-    return m_reader.reads() && m_endpoints.reachable &&
+    return m_reader.reads() && m_reader.watches_stand() &&
            now - m_reader.answered_at() < max_answer_age;
 }
 
@@ -486,7 +505,7 @@
         return;
     found->second.lapsed = change.lapsed;
     // The reader has seen the outage, which may have been short.
-    if (change.lapsed && m_endpoints.reachable)
+    if (change.lapsed)
         m_endpoints.back_since = now;
 }
 
@@ -521,7 +540,9 @@
         return;
     if (news.sender.zone != m_settings.zone)
         return compare_distant(news, now);
-    if (news.sender.fresh || !store_is_current(now))
+    // A sender whose state is old may only have begun to read.
+    if (news.sender.fresh ||
+        (news.sender.store_failing && !store_is_current(now)))
         record_store_call(m_endpoints, news.sender.fresh, now);
     if (news.position.revision == 0 || news.position < m_position)
         return;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -40,21 +40,28 @@
 } // namespace
 
 store_reader::store_reader(asio::any_io_executor executor, store_client& store,
-                           std::string host, std::function<void()> changed)
+                           std::string host, std::function<void()> changed,
+                           std::function<void(bool)> recorded)
     : m_store(store),
       m_host(std::move(host)),
       m_changed(std::move(changed)),
+      m_recorded(std::move(recorded)),
       m_gate(std::move(executor))
 {
 }
 
 void store_reader::record_answer(bool answered, time_point_t now)
 {
-    m_failures = answered ? 0 : m_failures + 1;
     if (answered)
         m_answered_at = now;
-    else
-        m_suspect = true;
+    record_outcome(answered);
+}
+
+void store_reader::record_outcome(bool answered)
+{
+    m_failures = answered ? 0 : m_failures + 1;
+    m_suspect = m_suspect || !answered;
+    m_recorded(answered);
     const bool failing = m_failing ? !answered : m_failures >= failures_to_tell;
     if (failing == m_failing)
         return;
@@ -105,9 +112,11 @@
 
 asio::awaitable<void> store_reader::probe()
 {
+    auto pause = probe_interval;
     for (;;)
     {
-        co_await m_gate.pause(next_probe());
+        co_await m_gate.pause(pause);
+        pause = probe_interval;
         if (!reads() && !m_failing)
             continue;
         auto target = platform::list_target(platform::move_kind, "", true);
@@ -115,12 +124,18 @@
             call_purpose::probe, boost::beast::http::verb::get,
             std::move(target), {}, probe_timeout);
         const bool suspect = m_suspect;
-        record_answer(answer.is(200), time_point_t::clock::now());
+        // It says nothing of a later state unless the watches stand.
+        if (answer.is(200) && !suspect)
+            m_answered_at = time_point_t::clock::now();
+        record_outcome(answer.is(200));
+        pause = next_probe();
         if (!answer.is(200) || !suspect)
             continue;
         m_suspect = false;
         m_gate.renew();
         m_store.abort_watches();
+        // The next one shows that the renewed watches stand.
+        pause = min_probe_pause;
     }
 }
 
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -26,10 +26,12 @@
 class store_reader
 {
 public:
-    /// @param[in] host     name of this host
-    /// @param[in] changed  called when the store has begun or ceased to answer
+    /// @param[in] host      name of this host
+    /// @param[in] changed   called when the store has begun or ceased to answer
+    /// @param[in] recorded  called with the outcome of each call
     store_reader(boost::asio::any_io_executor executor, store_client& store,
-                 std::string host, std::function<void()> changed);
+                 std::string host, std::function<void()> changed,
+                 std::function<void(bool)> recorded);
 
     watch_gate& gate()
     {
@@ -54,6 +56,13 @@
         return m_failing;
     }
 
+    /// @brief Whether the watches have stood since the last sign of life; after
+    ///        a failed call they may hang or be refused.
+    bool watches_stand() const
+    {
+        return !m_suspect;
+    }
+
     /// @brief Last answer of the store to a call that asks for the present
     ///        state, or that shows that a waiting watch still stands.
     time_point_t answered_at() const
@@ -61,7 +70,8 @@
         return m_answered_at;
     }
 
-    /// @brief Records the end of a call to the store.
+    /// @brief Records the end of a call to the store that asks for the present
+    ///        state.
     void record_answer(bool answered, time_point_t now);
 
     /// @brief Decides anew whether this host reads.
@@ -76,11 +86,13 @@
     boost::asio::awaitable<void> probe();
 
 private:
+    void record_outcome(bool answered);
     milliseconds next_probe();
 
     store_client& m_store;
     std::string m_host;
     std::function<void()> m_changed;
+    std::function<void(bool)> m_recorded;
     watch_gate m_gate;
     std::minstd_rand m_random{std::random_device{}()};
     time_point_t m_answered_at{};
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -2,8 +2,9 @@
 // writes, paged lists, watches, and faults that tests inject.
 //
 //   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, compact,
-//               save, restore}; "save" copies all objects, "restore" goes back
-//               to that copy and begins a new era
+//               save, restore, cut_watches}; "save" copies all objects,
+//               "restore" goes back to that copy and begins a new era,
+//               "cut_watches" names a kind whose waiting watches are cut off
 //   PUT /addresses  (tests) {ID: ADDRESS}, in place of the addresses that
 //               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
@@ -97,11 +98,13 @@
 
     /// Waits for changes after a revision and returns them, or std::nullopt if
     /// that part of the history was compacted.
+    /// @param[out] cut  whether it was cut off while it waited
     std::optional<json> watch(const std::string& kind, std::uint64_t since,
-                              milliseconds wait)
+                              milliseconds wait, bool& cut)
     {
         std::unique_lock lock(m_mutex);
         const auto era = m_era;
+        const auto cuts = m_cuts[kind];
         json events = json::array();
         const auto collect = [&]
         {
@@ -111,14 +114,23 @@
                     events.push_back({{"object", entry.object},
                                       {"tombstone", entry.removed}});
             return !events.empty() || since < m_compacted_revision ||
-                   since > m_revision || era != m_era;
+                   since > m_revision || era != m_era || cuts != m_cuts[kind];
         };
         m_changed.wait_for(lock, wait, collect);
+        cut = events.empty() && cuts != m_cuts[kind];
         if (since < m_compacted_revision || since > m_revision)
             return std::nullopt;
         return json{{"events", events}, {"storeRevision", m_revision}};
     }
 
+    /// Cuts off the watches of a kind that wait.
+    void cut_watches(const std::string& kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_cuts[kind];
+        m_changed.notify_all();
+    }
+
     std::optional<json> read(const std::string& kind, const std::string& name)
     {
         const std::lock_guard lock(m_mutex);
@@ -224,6 +236,7 @@
     std::condition_variable m_changed;
     std::uint64_t m_revision = 100;
     std::uint64_t m_compacted_revision = 0;
+    std::map<std::string, int> m_cuts; ///< of watches, by kind
     std::map<std::string, std::map<std::string, json>> m_kinds;
     std::deque<change> m_history;
     std::map<std::string, write_count> m_calls; ///< by kind
@@ -384,6 +397,8 @@
             m_store.save();
         if (requested.value("restore", false))
             m_store.restore();
+        if (requested.contains("cut_watches"))
+            m_store.cut_watches(requested["cut_watches"]);
         const std::lock_guard lock(m_mutex);
         m_faults = {
             requested.value("refuse", 0), requested.value("silent_ms", 0),
@@ -401,9 +416,12 @@
             send_json(response, 200, page);
             return;
         }
+        bool cut = false;
         auto found = m_store.watch(
             kind, std::stoull(request.get_param_value("watch")),
-            milliseconds(std::stoi(request.get_param_value("waitMs"))));
+            milliseconds(std::stoi(request.get_param_value("waitMs"))), cut);
+        if (cut)
+            return break_off(response);
         if (!found)
         {
             response.status = 410;
@@ -437,13 +455,7 @@
         {
             standin::delay(milliseconds(late_ms));
             m_store.write(kind, name, section, body, create);
-            response.status = 0;
-            response.set_content_provider(1, "text/plain",
-                                          [](std::size_t, std::size_t, auto&)
-                                          {
-                                              return false;
-                                          });
-            return;
+            return break_off(response);
         }
         const auto status = m_store.write(kind, name, section, body, create);
         const auto object = m_store.read(kind, name);
@@ -458,6 +470,17 @@
         return m_faults.lose_answers > 0 && m_faults.lose_answers-- > 0;
     }
 
+    /// Closes the connection in place of an answer.
+    static void break_off(httplib::Response& response)
+    {
+        response.status = 0;
+        response.set_content_provider(1, "text/plain",
+                                      [](std::size_t, std::size_t, auto&)
+                                      {
+                                          return false;
+                                      });
+    }
+
     static void send_json(httplib::Response& response, int status,
                           const json& body)
     {
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -99,6 +99,77 @@
     CHECK(usable_endpoints(book, recovered).size() == 3);
 }
 
+// Guards against taking one failed call for an outage: requests went on to an
+// endpoint that had left, until the next answer of the watch and 2 s more.
+TEST_CASE("an endpoint that leaves after a watch was cut off goes at once",
+          "[fleet]")
+{
+    const int endpoints = GENERATE(1, 2, 3, 5);
+    const int cuts = GENERATE(1, 2, 3);
+    const int gap_ms = GENERATE(300, 1100, 4500);
+    const int phase_ms = GENERATE(0, 350, 900);
+    for (int removed_ms = 0; removed_ms < 16000; removed_ms += 250)
+    {
+        endpoint_registry book;
+        for (int i = 0; i < endpoints; ++i)
+            upsert_endpoint(book, entry_of("e" + std::to_string(i)), start);
+        // A sign of life each second, and the watches that are cut.
+        for (int ms = 0; ms <= removed_ms + 1000; ms += 50)
+        {
+            const auto now = start + milliseconds(ms);
+            if (ms % 1000 == phase_ms)
+                record_store_call(book, true, now);
+            if (ms >= 2000 && (ms - 2000) % gap_ms == 0 &&
+                (ms - 2000) / gap_ms < cuts)
+                record_store_call(book, false, now);
+            if (ms == removed_ms)
+                remove_endpoint(book, "e0", now);
+            if (ms < removed_ms)
+                continue;
+            CAPTURE(endpoints, cuts, gap_ms, phase_ms, removed_ms, ms);
+            REQUIRE(usable_endpoints(book, now).size() ==
+                    static_cast<std::size_t>(endpoints - 1));
+        }
+    }
+}
+
+// Guards the other side: an outage in which entries can lapse is recognized,
+// whenever the signs of life fail in it and however late they show it.
+TEST_CASE("entries that lapse in an outage are kept until they can be back",
+          "[fleet]")
+{
+    const int outage_ms = GENERATE(2400, 3000, 3600, 8000, 20000);
+    const int timeout_ms = GENERATE(0, 700);
+    const int removed_after_ms = GENERATE(0, 500, 1900);
+    for (int phase_ms = 0; phase_ms < 1000; phase_ms += 50)
+    {
+        endpoint_registry book;
+        for (const auto* id : {"e1", "e2", "e3", "e4"})
+            upsert_endpoint(book, entry_of(id), start);
+        const auto down = start + seconds(10);
+        const auto up = down + milliseconds(outage_ms);
+        time_point_t back{};
+        auto call = start + milliseconds(phase_ms);
+        while (back == time_point_t{})
+        {
+            const bool answered = call < down || call >= up;
+            const auto ended =
+                call + (answered ? milliseconds(0) : milliseconds(timeout_ms));
+            record_store_call(book, answered, ended);
+            if (answered && call >= up)
+                back = call;
+            call = ended + seconds(1);
+        }
+        const auto removed = back + milliseconds(removed_after_ms);
+        remove_endpoint(book, "e1", removed);
+        remove_endpoint(book, "e2", removed);
+        CAPTURE(outage_ms, timeout_ms, removed_after_ms, phase_ms);
+        CHECK(usable_endpoints(book, back + lapse_grace - milliseconds(1))
+                  .size() == 4);
+        CHECK(usable_endpoints(book, back + lapse_grace).size() == 2);
+    }
+}
+
 TEST_CASE("a removal without an outage takes effect at once", "[fleet]")
 {
     endpoint_registry book;
