Read the store in time for the bound, whatever readers are lost

Cause: a host read by itself only from a state age of 2.2 s on and up to 1 s more, whatever the bound in the settings, and until then waited for each successor anew (1.2 s of silence, 0.4 s, 0.2 s).

Change: the age follows from the bounds less 0.35 s for the read, and is checked when it is due. The four next best hosts of a zone begin earlier, one after the other, and tell the zone. Signs of life come each 0.5 s, the news right after them. A host that has read by itself goes back to its reader's news at once. Hosts that the store refuses stop their watches once they have failed, as before.

Why it works: no host's bound depends on how many others are noticed to be dead first.

--- a/include/rhubarbgrade/detail/membership/reader_choice.hpp
+++ b/include/rhubarbgrade/detail/membership/reader_choice.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <cstddef> // size_t
-#include <span>    // span
-#include <string>  // string
+#include <cstddef>     // size_t
+#include <span>        // span
+#include <string>      // string
+#include <string_view> // string_view
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds, time_point_t
 
@@ -22,9 +23,17 @@
 {
     /// Hosts of a zone that try a store that doesn't answer.
     std::size_t trying_hosts = 3;
-    /// Age of the state that a host has from others, from which on it reads by
-    /// itself; shorter than the time in which a host must be up to date.
-    milliseconds max_state_age{2200};
+    /// Time in which a change must be in force on each host.
+    milliseconds apply_bound{2000};
+    /// What reading the store and applying a change takes of it.
+    milliseconds apply_time{350};
+    /// Hosts, the next best ones after the reader, that stand in for it earlier
+    /// than the others, each this much after the one before; the news of the
+    /// first that does keep the others from reading.
+    std::size_t deputies = 4;
+    milliseconds deputy_step{100};
+    /// Lower bound of the age: news come twice a second, and one may be lost.
+    milliseconds min_state_age{1200};
 };
 
 /// @brief Chooses the host that reads the store for its zone.
@@ -39,6 +48,17 @@
 std::string choose_reader(std::span<const reader_candidate> zone,
                           const reader_policy& policy = {});
 
+/// @brief Number of hosts of a zone that are preferred to one as its reader.
+std::size_t reader_rank(std::span<const reader_candidate> zone,
+                        std::string_view host);
+
+/// @brief Age of the state that a host has from others, from which on it reads
+///        the store by itself.
+///
+/// Whatever becomes of the reader and of its successors, a host that begins to
+/// read then is up to date in time.
+milliseconds max_state_age(std::size_t rank, const reader_policy& policy = {});
+
 /// @brief What decides whether a host reads the store itself.
 struct reader_situation
 {
@@ -46,13 +66,16 @@
     bool others_try = false;     ///< live hosts of the zone, without success
     bool knows_state = false;    ///< has a configuration and the endpoints
     time_point_t confirmed_at{}; ///< when its state was the store's, at least
-    milliseconds stagger{0};     ///< differs from host to host
+    std::size_t rank = 0;        ///< by @ref reader_rank
+    bool failing = false;        ///< the store doesn't answer this host
 };
 
 /// @brief Whether a host reads the store itself.
 ///
-/// A host that isn't chosen does so if its state gets old although nobody
-/// reports a fault of the store: its reader hangs, lags, or is cut off from it.
+/// A host that isn't chosen does so if its state gets old: its reader has
+/// ended, hangs, lags, or is cut off from the store. If hosts report that the
+/// store fails, only the first few try, each until it has failed; then it waits
+/// for a sign of life.
 bool reads_store(const reader_situation& situation, time_point_t now,
                  const reader_policy& policy = {});
 
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -1,18 +1,31 @@
 #include <rhubarbgrade/detail/membership/reader_choice.hpp>
 
-#include <cstdint> // uint64_t
-#include <utility> // pair
+#include <algorithm> // count_if, find_if, max
+#include <cstdint>   // uint64_t
+#include <utility>   // pair
 
 #include <rhubarbgrade/detail/base/hash.hpp> // hash64
 
 namespace rhubarbgrade
 {
 
+namespace
+{
+
+using rank_t = std::pair<double, std::uint64_t>;
+
+rank_t rank_of(const reader_candidate& host)
+{
+    return {host.capacity, hash64(host.host)};
+}
+
+} // namespace
+
 std::string choose_reader(std::span<const reader_candidate> zone,
                           const reader_policy& policy)
 {
     std::string best;
-    std::pair<double, std::uint64_t> best_rank;
+    rank_t best_rank;
     std::size_t trying = 0;
     for (const auto& each : zone)
     {
@@ -21,7 +34,7 @@
             ++trying;
             continue;
         }
-        const std::pair rank{each.capacity, hash64(each.host)};
+        const auto rank = rank_of(each);
         if (best.empty() || rank > best_rank)
         {
             best = each.host;
@@ -31,15 +44,47 @@
     return trying >= policy.trying_hosts ? std::string() : best;
 }
 
+std::size_t reader_rank(std::span<const reader_candidate> zone,
+                        std::string_view host)
+{
+    const auto self = std::find_if(zone.begin(), zone.end(),
+                                   [&](const auto& each)
+                                   {
+                                       return each.host == host;
+                                   });
+    if (self == zone.end())
+        return zone.size();
+    const auto own = rank_of(*self);
+    return static_cast<std::size_t>(std::count_if(zone.begin(), zone.end(),
+                                                  [&](const auto& each)
+                                                  {
+                                                      return rank_of(each) >
+                                                             own;
+                                                  }));
+}
+
+milliseconds max_state_age(std::size_t rank, const reader_policy& policy)
+{
+    // The best host is like the next one: it reads unless others don't see it.
+    const auto place = std::max<std::size_t>(rank, 1);
+    const auto steps =
+        place > policy.deputies ? 0 : policy.deputies + 1 - place;
+    const auto latest = policy.apply_bound - policy.apply_time;
+    return std::max(policy.min_state_age,
+                    latest - policy.deputy_step *
+                                 static_cast<milliseconds::rep>(steps));
+}
+
 bool reads_store(const reader_situation& situation, time_point_t now,
                  const reader_policy& policy)
 {
     if (situation.chosen)
         return true;
-    if (situation.others_try && situation.knows_state)
+    if (situation.others_try && situation.knows_state &&
+        (situation.failing || situation.rank >= policy.trying_hosts))
         return false;
-    return now - situation.confirmed_at >
-           policy.max_state_age + situation.stagger;
+    return now - situation.confirmed_at >=
+           max_state_age(situation.rank, policy);
 }
 
 } // namespace rhubarbgrade
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -72,6 +72,16 @@
     return std::chrono::duration_cast<milliseconds>(now - at).count();
 }
 
+/// Shortest time between two checks of the state's age.
+constexpr milliseconds age_check_period{50};
+
+reader_policy make_reader_policy(const node_bounds& bounds)
+{
+    reader_policy policy;
+    policy.apply_bound = std::min(bounds.config_apply, bounds.drain);
+    return policy;
+}
+
 socket_address to_address(const std::string& text)
 {
     auto [ip, port] = split_address(text);
@@ -95,6 +105,7 @@
       m_store(loop.get_executor(), settings.store),
       m_reader(
           loop.get_executor(), m_store, settings.host,
+          make_reader_policy(settings.bounds),
           [this]
           {
               m_peers.hasten_heartbeat();
@@ -281,6 +292,7 @@
     spawn(m_loop, m_witnesses.run(), "witness confirmations");
     m_peers.start();
     spawn(m_loop, tick(), "control tick");
+    spawn(m_loop, watch_state_age(), "age of the state");
 }
 
 watch_listener node_control::make_configuration_listener()
@@ -529,6 +541,11 @@
 void node_control::confirm(const peer_news& news, time_point_t now)
 {
     set_position(news.position, now);
+    confirm_age(news, now);
+}
+
+void node_control::confirm_age(const peer_news& news, time_point_t now)
+{
     if (news.sender.state_age)
         m_confirmed_at = std::max(m_confirmed_at, now - *news.sender.state_age);
 }
@@ -536,7 +553,13 @@
 void node_control::apply_changes(const peer_news& news)
 {
     const auto now = time_point_t::clock::now();
-    if (!news.complete || !news.hub || reads_store(now))
+    if (!news.complete || !news.hub)
+        return;
+    // While this host reads by itself, it only notes that it need not.
+    if (news.sender.host == m_reader.chosen_host() && news.sender.fresh &&
+        news.sender.state_age)
+        m_told_at = std::max(m_told_at, now - *news.sender.state_age);
+    if (reads_store(now))
         return;
     if (news.sender.zone != m_settings.zone)
         return compare_distant(news, now);
@@ -544,8 +567,17 @@
     if (news.sender.fresh ||
         (news.sender.store_failing && !store_is_current(now)))
         record_store_call(m_endpoints, news.sender.fresh, now);
-    if (news.position.revision == 0 || news.position < m_position)
+    if (news.position.revision == 0)
         return;
+    // A host that has read the store itself may have come further in its
+    // history than its reader, which learns of the changes of its kinds only.
+    if (news.position < m_position)
+    {
+        if (news.position.era == m_position.era && news.sender.fresh &&
+            news.sender.state_digest == state_digest())
+            confirm_age(news, now);
+        return;
+    }
     bool changed = false;
     if (m_endpoints_known && news.position.era == m_position.era)
         for (const auto& each : news.changes)
@@ -575,9 +607,13 @@
     // Nobody else is known right after the start.
     if (now - m_started < introduction)
         return;
+    const bool read = m_reader.reads();
     m_reader.decide(zone, m_configuration != nullptr && m_endpoints_known,
-                    confirmed_at(), now);
-    m_members.set_speaks(m_reader.chosen());
+                    read ? m_told_at : m_confirmed_at, now);
+    // What this host has read itself stays valid.
+    if (read && !m_reader.reads())
+        m_confirmed_at = std::max(m_confirmed_at, m_reader.answered_at());
+    m_members.set_speaks(m_reader.speaks());
     const bool current = store_is_current(now);
     if (current && !std::exchange(m_was_current, current))
         m_escrow.on_store_back();
@@ -608,6 +644,8 @@
     spdlog::info("configuration version {} is in force",
                  m_configuration->version);
     publish();
+    if (m_reader.speaks())
+        m_peers.hasten_heartbeat();
     m_escrow.set_budgets(std::move(budgets));
 }
 
@@ -937,6 +975,22 @@
     publish();
 }
 
+asio::awaitable<void> node_control::watch_state_age()
+{
+    asio::steady_timer timer(m_loop);
+    for (;;)
+    {
+        const auto now = time_point_t::clock::now();
+        const auto due = m_confirmed_at + m_reader.max_age();
+        // Once it is too old, the tick goes on to decide.
+        timer.expires_at(due > now ? std::max(due, now + age_check_period)
+                                   : now + tick_period);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!m_reader.reads())
+            choose_reader(time_point_t::clock::now());
+    }
+}
+
 asio::awaitable<void> node_control::tick()
 {
     asio::steady_timer timer(m_loop);
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -131,9 +131,12 @@
     void compare_distant(const peer_news& news, time_point_t now);
     /// This host has the state that a hub tells of.
     void confirm(const peer_news& news, time_point_t now);
+    void confirm_age(const peer_news& news, time_point_t now);
     /// All changes of the endpoints up to a revision have been reported.
     void reach(std::uint64_t revision);
     void choose_reader(time_point_t now);
+    /// Lets this host read the store as soon as its state gets too old.
+    boost::asio::awaitable<void> watch_state_age();
     void set_position(store_position position, time_point_t now);
     /// Revision up to which changes of all kinds are known here, even if others
     /// have read them; 0: not known.
@@ -185,6 +188,7 @@
     std::size_t m_host_count = assumed_host_count;
     const time_point_t m_started;
     time_point_t m_confirmed_at; ///< by a peer; see confirmed_at
+    time_point_t m_told_at{};    ///< state of the zone's reader, in its news
     store_position m_position;   ///< of the endpoints
     /// Two earlier ones, some seconds apart, and when they were reached.
     std::array<store_position, 2> m_earlier{};
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -9,8 +9,7 @@
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
 #include <spdlog/spdlog.h>              // info
 
-#include <platform/store_calls.hpp>          // list_target, move_kind
-#include <rhubarbgrade/detail/base/hash.hpp> // hash64
+#include <platform/store_calls.hpp> // list_target, move_kind
 
 #include "../store/store_client.hpp" // store_client
 
@@ -22,28 +21,27 @@
 namespace
 {
 
-/// Time between two signs of life, so that a host whose path is back acts on
-/// the store's state within the contact bound.
-constexpr milliseconds probe_interval{1000};
+/// Time between two signs of life. News of the state follow each of them, so
+/// that the other hosts of the zone have one that is hardly older than this.
+constexpr milliseconds probe_interval{500};
 constexpr milliseconds probe_timeout{700};
 
-/// The first pause after a failed call; it doubles up to the interval.
+/// Range of the pause after a failed call, which doubles with each.
 constexpr milliseconds min_probe_pause{200};
+constexpr milliseconds max_probe_pause{1000};
 
 /// Consecutive calls that fail until the host says so.
 constexpr int failures_to_tell = 2;
 
-/// Range over which hosts whose state gets old begin to read, so that the first
-/// ones can tell the others.
-constexpr milliseconds::rep stagger_ms = 1000;
-
 } // namespace
 
 store_reader::store_reader(asio::any_io_executor executor, store_client& store,
-                           std::string host, std::function<void()> changed,
+                           std::string host, const reader_policy& policy,
+                           std::function<void()> changed,
                            std::function<void(bool)> recorded)
     : m_store(store),
       m_host(std::move(host)),
+      m_policy(policy),
       m_changed(std::move(changed)),
       m_recorded(std::move(recorded)),
       m_gate(std::move(executor))
@@ -75,24 +73,24 @@
                           bool knows_state, time_point_t confirmed_at,
                           time_point_t now)
 {
-    const auto chosen = choose_reader(zone);
+    m_chosen_host = choose_reader(zone, m_policy);
     const bool others_try = std::any_of(zone.begin(), zone.end(),
                                         [](const auto& each)
                                         {
                                             return each.failing;
                                         });
-    m_chosen = chosen == m_host;
-    const milliseconds stagger(
-        static_cast<milliseconds::rep>(hash64(m_host) % stagger_ms));
+    m_rank = reader_rank(zone, m_host);
     const bool reads = reads_store(
-        {m_chosen, others_try, knows_state, confirmed_at, stagger}, now);
+        {chosen(), others_try, knows_state, confirmed_at, m_rank, m_failing},
+        now, m_policy);
     if (reads == m_gate.open())
         return;
     spdlog::info(
-        "event=store_reader reads={} chosen={} failing={} "
-        "state_age_ms={}",
-        reads, chosen, m_failing,
-        std::chrono::duration_cast<milliseconds>(now - confirmed_at).count());
+        "event=store_reader reads={} chosen={} rank={} failing={} "
+        "others_try={} state_age_ms={} max_state_age_ms={}",
+        reads, m_chosen_host, m_rank, m_failing, others_try,
+        std::chrono::duration_cast<milliseconds>(now - confirmed_at).count(),
+        max_age().count());
     m_gate.set_open(reads);
     m_changed();
 }
@@ -103,7 +101,7 @@
         return probe_interval;
     constexpr int max_doublings = 3;
     const auto pause =
-        std::min(probe_interval,
+        std::min(max_probe_pause,
                  min_probe_pause * (1 << std::min(m_failures, max_doublings)));
     std::uniform_int_distribution<milliseconds::rep> jitter(0,
                                                             pause.count() / 2);
@@ -129,8 +127,13 @@
             m_answered_at = time_point_t::clock::now();
         record_outcome(answer.is(200));
         pause = next_probe();
-        if (!answer.is(200) || !suspect)
+        if (!answer.is(200))
+            continue;
+        if (!suspect)
+        {
+            m_changed();
             continue;
+        }
         m_suspect = false;
         m_gate.renew();
         m_store.abort_watches();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -27,10 +27,15 @@
 {
 public:
     /// @param[in] host      name of this host
-    /// @param[in] changed   called when the store has begun or ceased to answer
+    /// @param[in] policy    with the bounds that the host has to keep
+    /// @param[in] changed   called when other hosts should hear of this one:
+    /// its
+    ///                      state is the store's again, or it has begun or
+    ///                      ceased to read, or the store to answer it
     /// @param[in] recorded  called with the outcome of each call
     store_reader(boost::asio::any_io_executor executor, store_client& store,
-                 std::string host, std::function<void()> changed,
+                 std::string host, const reader_policy& policy,
+                 std::function<void()> changed,
                  std::function<void(bool)> recorded);
 
     watch_gate& gate()
@@ -47,7 +52,25 @@
     /// @brief Whether it reads for the hosts of its zone, too.
     bool chosen() const
     {
-        return m_chosen;
+        return m_chosen_host == m_host;
+    }
+
+    /// @brief The host that is to read for the zone; may be empty.
+    const std::string& chosen_host() const
+    {
+        return m_chosen_host;
+    }
+
+    /// @brief Whether the other hosts of the zone rely on what this one reads.
+    bool speaks() const
+    {
+        return chosen() || (reads() && m_rank <= m_policy.deputies);
+    }
+
+    /// @brief Age of the state from which on this host reads by itself.
+    milliseconds max_age() const
+    {
+        return max_state_age(m_rank, m_policy);
     }
 
     /// @brief Whether the store doesn't answer this host, as far as it knows.
@@ -91,13 +114,15 @@
 
     store_client& m_store;
     std::string m_host;
+    reader_policy m_policy;
     std::function<void()> m_changed;
     std::function<void(bool)> m_recorded;
     watch_gate m_gate;
     std::minstd_rand m_random{std::random_device{}()};
     time_point_t m_answered_at{};
     int m_failures = 0; ///< consecutive
-    bool m_chosen = false;
+    std::string m_chosen_host;
+    std::size_t m_rank = 0; ///< among the hosts of the zone
     bool m_failing = false; ///< told to the other hosts
     bool m_suspect = false; ///< a call has failed since the watches began
 };
