Tests: read a log of events only up to its last complete line

Cause: the harness took each line for complete. The system makes a write visible page by page, so a reader beside it can see the beginning of the last line only.

Change: both readers of such logs share read_event_log, which leaves out a last line without its end. No check sees fewer events: an event is written before the request that it stands for is answered, and checks that don't wait for an answer poll. A stand-in writes an event and its end in one call, since several of them append to one file; the library wrote events of 1 kB and more in two.

--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -15,6 +15,7 @@
 
 #include <rhubarbgrade/rhubarbgrade.hpp>
 
+#include "event_log.hpp"
 #include "until.hpp"
 
 namespace harness
@@ -425,11 +426,7 @@
 
 std::vector<json> fleet::read_events(const std::string& name) const
 {
-    std::vector<json> events;
-    std::ifstream in(path(name));
-    for (std::string line; std::getline(in, line);)
-        events.push_back(json::parse(line));
-    return events;
+    return read_event_log(path(name));
 }
 
 std::map<std::string, std::vector<long>> fleet::bills()
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -15,8 +15,9 @@
 #include <httplib.h>         // Client
 #include <nlohmann/json.hpp> // json
 
-#include "process.hpp" // process
-#include "until.hpp"   // wait_until
+#include "event_log.hpp" // read_event_log
+#include "process.hpp"   // process
+#include "until.hpp"     // wait_until
 
 namespace harness
 {
@@ -345,14 +346,12 @@
     /// Runs of a path that endpoints have logged.
     std::vector<json> runs(const std::string& path) const
     {
-        std::vector<json> found;
-        std::ifstream in(event_file());
-        for (std::string line; std::getline(in, line);)
-        {
-            const auto event = json::parse(line);
-            if (event["path"] == path)
-                found.push_back(event);
-        }
+        auto found = read_event_log(event_file());
+        std::erase_if(found,
+                      [&](const json& event)
+                      {
+                          return event["path"] != path;
+                      });
         return found;
     }
 
--- a/tests/standin/record.hpp
+++ b/tests/standin/record.hpp
@@ -23,7 +23,8 @@
     void append(const nlohmann::json& event)
     {
         const std::lock_guard lock(m_mutex);
-        m_out << event.dump() << '\n' << std::flush;
+        // In one call, as other processes may append to the same file.
+        m_out << event.dump() + '\n' << std::flush;
     }
 
 private:
