Bound the bytes that the HTTP parser has not consumed

Cause: the parser's limits apply to the header and to the body. The line that begins a chunk and the trailer section belong to neither, and stay in the connection's buffer until they are complete. The buffers had no limit. Broken invariant: each byte received counts against some limit. The same buffers read requests of callers and of other hosts, readiness checks, and answers of the store and of other hosts.

Bounded before: heads, interim heads, plain bodies, chunks of the body, one event, and answers whose caller doesn't read.

Change: input_buffer has a limit in any case, 64 KB unless callers may send larger headers, and replaces all buffers. A read into a full one fails at once, so the endpoint's answer counts as broken off, as any other: it is retried or resumed if the request allows it, else callers get 502 long before the time limit. A state request of another host gets the time limit of its sender.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,8 +1,9 @@
 #include "caller_session.hpp"
 
-#include <cstdint> // uint64_t
-#include <memory>  // make_shared
-#include <utility> // exchange, move
+#include <algorithm> // max
+#include <cstdint>   // uint64_t
+#include <memory>    // make_shared
+#include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
@@ -30,6 +31,7 @@
 /// is accepted, but not much more of it than its header.
 constexpr std::size_t max_read_ahead = 16384;
 constexpr std::size_t read_size = 4096;
+constexpr std::size_t min_input_size = max_read_ahead + read_size;
 
 /// Time for which a connection is still read from after the last response.
 /// Closing it with unread bytes would reset it, and the caller could lose the
@@ -77,6 +79,7 @@
                                traffic_context& context)
     : m_socket(std::move(socket)),
       m_context(context),
+      m_buffer(min_input_size),
       m_read_timer(context.executor),
       m_input_timer(context.executor)
 {
@@ -160,6 +163,9 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
+    // It may hold more than a limit that has been lowered since.
+    m_buffer.max_size(
+        std::max(m_buffer.max_size(), read_size + limits.header_bytes));
     start_read_timer(limits.header_time);
     auto [fault, count] =
         co_await http::async_read_header(m_socket, m_buffer, parser, as_values);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -6,12 +6,13 @@
 #include <boost/asio/awaitable.hpp>         // awaitable
 #include <boost/asio/ip/tcp.hpp>            // tcp
 #include <boost/asio/steady_timer.hpp>      // steady_timer
-#include <boost/beast/core/flat_buffer.hpp> // flat_buffer
 #include <boost/beast/http/message.hpp>     // request
 #include <boost/beast/http/string_body.hpp> // string_body
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds
 
+#include "../store/input_buffer.hpp" // input_buffer
+
 namespace rhubarbgrade
 {
 
@@ -61,7 +62,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     traffic_context& m_context;
-    boost::beast::flat_buffer m_buffer;
+    input_buffer m_buffer;
     boost::asio::steady_timer m_read_timer;  ///< limits the time of reads
     boost::asio::steady_timer m_input_timer; ///< cancelled when input arrives
     std::function<void()> m_disconnect_handler;
--- a/src/gateway/endpoint_link.hpp
+++ b/src/gateway/endpoint_link.hpp
@@ -3,11 +3,12 @@
 #include <memory>   // shared_ptr
 #include <optional> // optional
 
-#include <boost/asio/ip/tcp.hpp>            // tcp
-#include <boost/beast/core/flat_buffer.hpp> // flat_buffer
+#include <boost/asio/ip/tcp.hpp> // tcp
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds, time_point_t
 
+#include "../store/input_buffer.hpp" // input_buffer
+
 namespace rhubarbgrade
 {
 
@@ -20,7 +21,7 @@
     }
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    input_buffer buffer;
     time_point_t idle_since{};
     std::optional<milliseconds> idle_limit; ///< announced by the endpoint
     bool used = false;                      ///< has carried a request before
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -2,13 +2,13 @@
 
 #include <memory> // enable_shared_from_this, shared_ptr
 
-#include <boost/asio/awaitable.hpp>         // awaitable
-#include <boost/asio/ip/tcp.hpp>            // tcp
-#include <boost/asio/steady_timer.hpp>      // steady_timer
-#include <boost/beast/core/flat_buffer.hpp> // flat_buffer
-#include <boost/beast/http/status.hpp>      // status
+#include <boost/asio/awaitable.hpp>    // awaitable
+#include <boost/asio/ip/tcp.hpp>       // tcp
+#include <boost/asio/steady_timer.hpp> // steady_timer
+#include <boost/beast/http/status.hpp> // status
 
-#include "endpoint_link.hpp" // endpoint_link_ptr_t
+#include "../store/input_buffer.hpp" // input_buffer
+#include "endpoint_link.hpp"         // endpoint_link_ptr_t
 
 namespace rhubarbgrade
 {
@@ -47,8 +47,8 @@
     boost::asio::ip::tcp::socket m_peer;
     traffic_context& m_context;
     boost::asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buffer; ///< of the peer's request
-    endpoint_link_ptr_t m_link;         ///< to the endpoint
+    input_buffer m_buffer;      ///< of the peer's request
+    endpoint_link_ptr_t m_link; ///< to the endpoint
     time_point_t m_last_byte{};
     bool m_awaits_answer = false;
 };
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/write.hpp>      // async_write
 #include <spdlog/spdlog.h>                 // info
 
+#include "../store/input_buffer.hpp"   // input_buffer
 #include "../store/socket_options.hpp" // set_tcp_options, to_endpoint
 #include "../store/spawn.hpp"          // spawn
 #include "caller_exchange.hpp"         // caller_exchange
@@ -247,7 +248,7 @@
 traffic_loop::answer_readiness_checks(tcp_t::socket socket)
 {
     constexpr unsigned http_1_1 = 11;
-    boost::beast::flat_buffer buffer;
+    input_buffer buffer;
     for (;;)
     {
         http::request<http::empty_body> probe;
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -1,7 +1,7 @@
 #include "peer_exchange.hpp"
 
 #include <array>   // array
-#include <memory>  // make_shared
+#include <memory>  // make_shared, weak_ptr
 #include <string>  // string
 #include <utility> // exchange, move
 #include <variant> // get, get_if
@@ -16,6 +16,7 @@
 #include <spdlog/spdlog.h>                  // warn
 
 #include "../store/http_link.hpp"      // http_link
+#include "../store/input_buffer.hpp"   // input_buffer
 #include "../store/socket_options.hpp" // to_endpoint
 #include "../store/spawn.hpp"          // spawn
 
@@ -232,10 +233,20 @@
 peer_exchange::answer_state_request(asio::ip::tcp::socket socket)
 {
     constexpr unsigned http_1_1 = 11;
-    boost::beast::flat_buffer buffer;
+    const auto connection =
+        std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+    asio::steady_timer timer(m_loop, state_request_timeout);
+    timer.async_wait(
+        [weak = std::weak_ptr(connection)](auto fault)
+        {
+            boost::system::error_code ignored; // the descriptor is released
+            if (const auto open = weak.lock(); open && !fault)
+                open->close(ignored);
+        });
+    input_buffer buffer;
     http::request<http::empty_body> state_request;
-    const auto [fault, count] =
-        co_await http::async_read(socket, buffer, state_request, as_values);
+    const auto [fault, count] = co_await http::async_read(
+        *connection, buffer, state_request, as_values);
     if (fault)
         co_return;
     http::response<http::string_body> answer(http::status::ok, http_1_1);
@@ -247,7 +258,7 @@
         answer.result(http::status::not_found);
     answer.keep_alive(false);
     answer.prepare_payload();
-    co_await http::async_write(socket, answer, as_values);
+    co_await http::async_write(*connection, answer, as_values);
 }
 
 } // namespace rhubarbgrade
--- a/src/store/http_link.hpp
+++ b/src/store/http_link.hpp
@@ -4,16 +4,17 @@
 #include <memory>  // enable_shared_from_this, shared_ptr
 #include <string>  // string
 
-#include <boost/asio/any_io_executor.hpp>   // any_io_executor
-#include <boost/asio/awaitable.hpp>         // awaitable
-#include <boost/asio/ip/tcp.hpp>            // tcp
-#include <boost/asio/steady_timer.hpp>      // steady_timer
-#include <boost/beast/core/flat_buffer.hpp> // flat_buffer
-#include <boost/beast/http/verb.hpp>        // verb
+#include <boost/asio/any_io_executor.hpp> // any_io_executor
+#include <boost/asio/awaitable.hpp>       // awaitable
+#include <boost/asio/ip/tcp.hpp>          // tcp
+#include <boost/asio/steady_timer.hpp>    // steady_timer
+#include <boost/beast/http/verb.hpp>      // verb
 
 #include <rhubarbgrade/detail/base/types.hpp>          // milliseconds
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // socket_address
 
+#include "input_buffer.hpp" // input_buffer
+
 namespace rhubarbgrade
 {
 
@@ -78,7 +79,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buffer;
+    input_buffer m_buffer;
     socket_address m_peer;
     std::uint64_t m_call_id = 0; ///< lets an outdated time-out be ignored
 };
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>  // count_if
 #include <atomic>     // atomic
 #include <cstdlib>    // getenv
 #include <filesystem> // path, temp_directory_path
@@ -270,6 +271,14 @@
     std::string write_settings(const std::string& name,
                                const std::string& bounds = "graceS = 8",
                                int view = 0) const
+    {
+        return write_settings_beside(name, bounds, view_port(view));
+    }
+
+    /// The same for a host whose store is another process.
+    std::string write_settings_beside(const std::string& name,
+                                      const std::string& bounds,
+                                      int store_port) const
     {
         auto path = (m_folder / (name + ".toml")).string();
         const auto temporary_path = path + ".next";
@@ -277,7 +286,7 @@
             << "nodeName = \"" << name << "\"\nzone = \"z1\"\n"
             << "ip = \"127.0.0.1\"\ninternalPortRange = [0,0]\n"
             << "[listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
-            << "[platform]\naddress = \"127.0.0.1:" << view_port(view)
+            << "[platform]\naddress = \"127.0.0.1:" << store_port
             << "\"\n[bounds]\n"
             << bounds << "\n";
         fs::rename(temporary_path, path);
@@ -300,6 +309,21 @@
             }));
     }
 
+    /// Starts a host whose store is another process; it may never be ready.
+    void start_host_beside(const std::string& name, int store_port)
+    {
+        const auto path = write_settings_beside(name, "graceS = 8", store_port);
+        m_hosts[name] = std::make_unique<process>(
+            std::vector<std::string>{build_folder() + "/rhubarbgrade_node",
+                                     path},
+            log_path(name));
+    }
+
+    int replica_port(const std::string& id) const
+    {
+        return m_replicas.at(id)->port();
+    }
+
     bool ready(const std::string& name) const
     {
         httplib::Client client("127.0.0.1", m_hosts.at(name)->port("ready"));
@@ -355,6 +379,17 @@
         return found;
     }
 
+    /// Events of a kind that endpoints have logged.
+    std::size_t event_count(const std::string& kind) const
+    {
+        const auto events = read_event_log(event_file());
+        return std::count_if(events.begin(), events.end(),
+                             [&](const json& event)
+                             {
+                                 return event["event"] == kind;
+                             });
+    }
+
     /// Output of a process to standard output and standard error.
     std::string log_text(const std::string& name) const
     {
--- a/tests/standin/endless.cpp
+++ b/tests/standin/endless.cpp
@@ -6,6 +6,11 @@
 //   stale     the body of a response to another request
 //   unsigned  the body of a success without a signature
 //   event     an event of a stream without an end
+//   headers   header lines without an end
+//   interim   responses that announce another one
+//   size      the size of a chunk; it follows a complete chunk, as do the
+//   others extension the extension of a chunk trailer   the trailer section
+//   after the last chunk chunks    chunks of the body
 //
 // Prints "listening PORT". Each request is logged when it arrives and when its
 // peer has closed the connection.
@@ -30,6 +35,9 @@
 DEFINE_string(id, "i-1", "id of this process in the log");
 DEFINE_string(mode, "head", "what the bytes are: see the top of the file");
 DEFINE_string(record, "/dev/null", "file that requests are appended to");
+DEFINE_uint64(most, 256U << 20U,
+              "bytes after which a response stalls, so that a peer that keeps "
+              "them all does not exhaust the machine");
 
 namespace
 {
@@ -77,9 +85,49 @@
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
+/// The beginning of a chunked response, with a complete event or text.
+std::string chunked_start(const std::string& id, bool stream)
+{
+    const std::string body = "id: 1\ndata: x\n\n";
+    auto start =
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s." +
+        FLAGS_id +
+        "\r\nContent-Type: " + (stream ? "text/event-stream" : "text/plain") +
+        "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + body + "\r\n";
+    if (FLAGS_mode == "trailer")
+        start += "0\r\n";
+    if (FLAGS_mode == "extension")
+        start += "5;x=";
+    return start;
+}
+
+bool is_chunked()
+{
+    return FLAGS_mode == "size" || FLAGS_mode == "extension" ||
+           FLAGS_mode == "trailer" || FLAGS_mode == "chunks";
+}
+
+/// What the response repeats without end.
+std::string repeated_bytes()
+{
+    if (FLAGS_mode == "size")
+        return "0";
+    if (FLAGS_mode == "headers" || FLAGS_mode == "trailer")
+        return "X-Field: x\r\n";
+    if (FLAGS_mode == "interim")
+        return "HTTP/1.1 103 Early Hints\r\nX-Field: x\r\n\r\n";
+    if (FLAGS_mode == "chunks")
+        return "4\r\n:x\n\n\r\n";
+    return "x";
+}
+
 /// The beginning of the response; more bytes follow without end.
-std::string response_start(const std::string& id)
+std::string response_start(const std::string& id, bool stream)
 {
+    if (FLAGS_mode == "interim")
+        return {};
+    if (is_chunked())
+        return chunked_start(id, stream);
     const std::string status = "HTTP/1.1 200 OK\r\n";
     const std::string signature = "Response-Signature: s." + FLAGS_id + "\r\n";
     if (FLAGS_mode == "stale")
@@ -89,9 +137,24 @@
     if (FLAGS_mode == "event")
         return status + "Request-Id: " + id + "\r\n" + signature +
                "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ";
+    if (FLAGS_mode == "headers")
+        return status;
     return status + "X-Header: ";
 }
 
+/// Returns once the peer has closed the connection.
+void write_endlessly(int socket)
+{
+    constexpr std::size_t least_block = 4096;
+    std::string block;
+    while (block.size() < least_block)
+        block += repeated_bytes();
+    for (std::size_t sent = 0; sent < FLAGS_most; sent += block.size())
+        if (!write_all(socket, block))
+            return;
+    read_head(socket);
+}
+
 void serve(int socket)
 {
     const auto head = read_head(socket);
@@ -99,14 +162,11 @@
         head.substr(head.find(' ') + 1,
                     head.find(' ', head.find(' ') + 1) - head.find(' ') - 1);
     event_log().append({{"event", "run"}, {"path", path}});
+    const bool stream = path.find("/stream/") != std::string::npos;
     if (!head.empty() &&
-        write_all(socket, response_start(header_value(head, "Request-Id"))))
-    {
-        const std::string block(4096, 'x');
-        while (write_all(socket, block))
-        {
-        }
-    }
+        write_all(socket,
+                  response_start(header_value(head, "Request-Id"), stream)))
+        write_endlessly(socket);
     event_log().append({{"event", "closed"}, {"path", path + "#closed"}});
     ::close(socket);
 }
