List again if a watch's answer is too large, and read less at a time

What callers saw: nothing yet; found by the tests for endless bytes. A host that had missed more than 8 MB of changes, while it was frozen or cut off, never got the configuration in force: its callers would have been judged by an old one until the store dropped its history.

Cause: the answer of a watch grows with what was missed, and has a limit. A host that met the limit repeated the same watch. Broken invariant: a failed watch is repeated only if it can succeed. And a limit of 8 MB for one body, with up to five calls at a time, allows more memory than a host has.

Change: a body has at most 4 MB; an answer that exceeds it makes the host list the kind again, whose pages have 1 MB. The log line of a failed watch tells.

--- a/src/store/http_link.cpp
+++ b/src/store/http_link.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/as_tuple.hpp>          // as_tuple
 #include <boost/asio/use_awaitable.hpp>     // use_awaitable
+#include <boost/beast/http/error.hpp>       // error
 #include <boost/beast/http/read.hpp>        // async_read
 #include <boost/beast/http/string_body.hpp> // string_body
 #include <boost/beast/http/write.hpp>       // async_write
@@ -25,8 +26,9 @@
 /// Completion token that returns errors as values instead of throwing them.
 constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
 
-/// Largest response body, in bytes; a page of a list has about 1 MB.
-constexpr std::uint64_t body_limit = 8U << 20U;
+/// Largest response body, in bytes; a page of a list has about 1 MB. Several
+/// calls may read one at the same time.
+constexpr std::uint64_t body_limit = 4U << 20U;
 
 } // namespace
 
@@ -105,7 +107,9 @@
     if (read_fault)
     {
         close();
-        co_return call_result{call_outcome::unknown, 0, {}, 0};
+        call_result failed{call_outcome::unknown, 0, {}, 0};
+        failed.too_large = read_fault == http::error::body_limit;
+        co_return failed;
     }
     call_result result{call_outcome::answered, parser.get().result_int(),
                        std::move(parser.get().body()),
--- a/src/store/http_link.hpp
+++ b/src/store/http_link.hpp
@@ -32,7 +32,8 @@
     call_outcome end = call_outcome::not_sent;
     unsigned status = 0; ///< HTTP status, if the call was answered
     std::string body;
-    std::uint64_t era = 0; ///< of the peer if it is the store, see decode_era
+    std::uint64_t era = 0;  ///< of the peer if it is the store, see decode_era
+    bool too_large = false; ///< the response exceeds what this side reads
 
     /// Whether the call was answered with the status @a expected.
     bool is(unsigned expected) const
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -144,9 +144,14 @@
         if (!response.is(200))
         {
             spdlog::warn("event=watch_failed kind={} revision={} status={} "
-                         "after_ms={}",
-                         kind, revision, response.status, elapsed.count());
+                         "after_ms={} too_large={}",
+                         kind, revision, response.status, elapsed.count(),
+                         response.too_large);
             co_await gate.pause(pauses.next());
+            // The same events would be too large again; pages of a list are
+            // not.
+            if (response.too_large)
+                co_return;
             continue;
         }
         pauses.reset();
--- a/tests/integration/integration-endless-bytes.cpp
+++ b/tests/integration/integration-endless-bytes.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <string>
 #include <string_view>
@@ -210,8 +211,8 @@
 TEST_CASE("a store whose answers never end is read in bounded memory",
           "[endless]")
 {
-    const auto mode =
-        GENERATE("head", "headers", "interim", "size", "extension", "trailer");
+    const auto mode = GENERATE("head", "headers", "interim", "stale", "size",
+                               "extension", "trailer", "chunks");
     INFO(mode);
     installation site;
     site.start_endless_replica("i-1", "desk", mode);
@@ -225,3 +226,34 @@
     CHECK(peak_memory_kb(site.host("h1").pid()) < max_memory_kb);
     CHECK(site.host("h1").running());
 }
+
+// Guards against a bound on answers of the store that stops a host for good
+// once it has missed many changes.
+TEST_CASE("a host that has missed more changes than it reads at once gets the "
+          "newest configuration",
+          "[endless]")
+{
+    constexpr int versions = 12;
+    installation site;
+    site.start_replica("i-1", "desk");
+    site.start_host("h1");
+    const auto tenants = [](const std::string& key)
+    {
+        return nlohmann::json{{{"name", "others"}, {"apiKeys", {key}}}};
+    };
+    site.host("h1").signal(SIGSTOP);
+    for (int version = 2; version <= versions; ++version)
+        site.publish_configuration(
+            version, {{"tenants", tenants("k" + std::to_string(version))},
+                      {"padding", std::string(1UL << 20U, 'x')}});
+    site.host("h1").signal(SIGCONT);
+    CHECK(wait_until(
+        [&]
+        {
+            const auto answer = site.call(
+                "h1", "/read/x",
+                {{"Authorization", "Token k" + std::to_string(versions)}});
+            return answer && answer->status == 200;
+        }));
+    CHECK(site.log_text("h1").find("too_large=true") != std::string::npos);
+}
