Tests: choose the reader of a simulated zone only when its hosts change

A part of it was a simulation that ranked all hosts of a zone anew in each step of 10 ms, though the ranks depend on nothing but the listed hosts.

The comment of outage_detection named the old distance of the signs of life.

--- a/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
@@ -54,7 +54,7 @@
 constexpr milliseconds min_lapse_outage{2000};
 
 /// @brief Time by which a failing call may show an outage late: signs of life
-///        are a second apart, and each has a time-out.
+///        are half a second apart, and each has a time-out.
 constexpr milliseconds outage_detection{1700};
 
 /// @brief How long lapsed entries are kept after the store is reachable again.
--- a/tests/unit/unit-readers.cpp
+++ b/tests/unit/unit-readers.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -170,18 +171,14 @@
     void step()
     {
         m_now += milliseconds(step_ms);
-        std::vector<reader_candidate> listed;
-        for (const auto& each : m_hosts)
-            if (!each.dead || m_now - each.died_at < noticed)
-                listed.push_back(each.candidate);
-        const auto reader = choose_reader(listed, m_policy);
+        update_ranks();
         for (auto& each : m_hosts)
             if (!each.dead)
-                decide(each, listed, reader);
+                decide(each);
         for (auto& each : m_hosts)
             if (speaks(each) && ((ms() + each.phase_ms) % news_ms == 0 ||
                                  m_now == each.reads_since + read_time))
-                tell(each, each.candidate.host == reader);
+                tell(each, each.candidate.host == m_reader);
     }
 
     /// Age of the oldest state of a living host.
@@ -249,12 +246,36 @@
         return std::chrono::duration_cast<milliseconds>(m_now - now()).count();
     }
 
-    void decide(host& each, const std::vector<reader_candidate>& listed,
-                const std::string& reader)
+    bool is_listed(const host& each) const
+    {
+        return !each.dead || m_now - each.died_at < noticed;
+    }
+
+    /// Chooses the reader and the deputies anew if a host is listed no longer.
+    void update_ranks()
+    {
+        const auto count = static_cast<std::size_t>(
+            std::count_if(m_hosts.begin(), m_hosts.end(),
+                          [this](const auto& each)
+                          {
+                              return is_listed(each);
+                          }));
+        if (std::exchange(m_listed, count) == count)
+            return;
+        std::vector<reader_candidate> listed;
+        for (const auto& each : m_hosts)
+            if (is_listed(each))
+                listed.push_back(each.candidate);
+        m_reader = choose_reader(listed, m_policy);
+        for (auto& each : m_hosts)
+            if (!each.dead)
+                each.rank = reader_rank(listed, each.candidate.host);
+    }
+
+    void decide(host& each)
     {
-        each.rank = reader_rank(listed, each.candidate.host);
         const bool reads = reads_store(
-            {each.candidate.host == reader, false, true,
+            {each.candidate.host == m_reader, false, true,
              each.reads ? each.told_at : each.confirmed_at, each.rank, false},
             m_now, m_policy);
         m_begun += reads && !each.reads ? 1 : 0;
@@ -283,6 +304,8 @@
     reader_policy m_policy;
     std::vector<host> m_hosts;
     time_point_t m_now = now();
+    std::string m_reader;
+    std::size_t m_listed = 0; ///< hosts that the reader is chosen from
     std::size_t m_begun = 0;
 };
 
