--- a/tests/standin/endless.cpp
+++ b/tests/standin/endless.cpp
@@ -8,9 +8,10 @@
 //   event     an event of a stream without an end
 //   headers   header lines without an end
 //   interim   responses that announce another one
-//   size      the size of a chunk; it follows a complete chunk, as do the
-//   others extension the extension of a chunk trailer   the trailer section
-//   after the last chunk chunks    chunks of the body
+//   size      the size of a chunk, after a complete one
+//   extension the extension of a chunk, after a complete one
+//   trailer   the trailer section, after a complete chunk
+//   chunks    chunks of the body
 //
 // Prints "listening PORT". Each request is logged when it arrives and when its
 // peer has closed the connection.
