Budgets: log where the tokens are of a customer that is refused

Cause: the counters of refusals for want of tokens are sums over all customers, so a log does not tell which budgets bind, nor whether their tokens were undrawn, held by other hosts or counted as spent for ended processes.

Change: each wallet counts its refusals by cause.

Result: unit-wallet, "refusals for want of tokens are counted by cause".

--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -122,6 +122,16 @@
 bool close_ended(escrow_book& book, const process_id& self,
                  const std::map<process_id, token_map_t>& ceilings);
 
+/// @brief Requests refused for want of tokens, by cause; see reserve_result.
+struct shortage_counts
+{
+    std::uint64_t undrawn = 0;
+    std::uint64_t unconfirmed = 0;
+    std::uint64_t no_draws = 0;
+
+    bool operator==(const shortage_counts&) const = default;
+};
+
 /// @brief A host's tokens of one customer's budget, and the demand for them.
 struct wallet_state
 {
@@ -133,6 +143,7 @@
     double rate = 0;            ///< tokens per second used by this host
     double fleet_rate = 0;      ///< tokens per second of all hosts; 0: unknown
     std::uint64_t round = 0;    ///< version of the limits last applied
+    shortage_counts refused;    ///< since the start
 };
 
 /// @brief The state of each budget on a host, by customer.
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -33,6 +33,14 @@
     return budget.can_draw ? reserve_result::undrawn : reserve_result::no_draws;
 }
 
+reserve_result count_shortage(shortage_counts& counts, reserve_result cause)
+{
+    counts.undrawn += cause == reserve_result::undrawn ? 1 : 0;
+    counts.unconfirmed += cause == reserve_result::unconfirmed ? 1 : 0;
+    counts.no_draws += cause == reserve_result::no_draws ? 1 : 0;
+    return cause;
+}
+
 } // namespace
 
 wallet_table::wallet_table(asio::any_io_executor executor,
@@ -69,7 +77,8 @@
             !account.budget_known || account.budget.can_extend ||
             (account.budget.undrawn != 0 && account.budget.can_draw);
         if (now >= until || !refill_possible)
-            co_return cause_of_shortage(account.budget);
+            co_return count_shortage(account.state.refused,
+                                     cause_of_shortage(account.budget));
         account.state.waiting += max_tokens;
         m_on_tokens_needed();
         // All waiting requests share update_timer; an update of the budget
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -495,6 +495,34 @@
         m_view.book.hosts.size(), m_view.revision, registered_witness().host,
         choose_writer_now(), m_stranded);
     m_calls = {};
+    log_shortages();
+}
+
+/// Logs the customers whose requests were refused for want of tokens since the
+/// last call, and where the tokens of their budgets are.
+void escrow_keeper::log_shortages()
+{
+    for (const auto& [customer, state] : m_states)
+    {
+        auto& logged = m_logged_refusals[customer];
+        if (logged == state.refused)
+            continue;
+        const auto prepaid = value_of(m_budgets, customer);
+        const auto& total = m_view.totals[customer];
+        const auto in_use = state.used + state.reserved;
+        spdlog::info("event=tokens_short customer={} undrawn={} "
+                     "unconfirmed={} no_draws={} tokens_prepaid={} "
+                     "tokens_undrawn={} tokens_free={} tokens_reserved={} "
+                     "tokens_drawn={} tokens_used={} tokens_closed={}",
+                     customer, state.refused.undrawn - logged.undrawn,
+                     state.refused.unconfirmed - logged.unconfirmed,
+                     state.refused.no_draws - logged.no_draws, prepaid,
+                     prepaid - std::min(prepaid, total.drawn),
+                     state.drawn - std::min(state.drawn, in_use),
+                     state.reserved, total.drawn, total.used,
+                     value_of(m_view.book.closed, customer));
+        logged = state.refused;
+    }
 }
 
 asio::awaitable<void> escrow_keeper::run()
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -146,6 +146,7 @@
     planned_write apply_all(const changes_t& changes) const;
     milliseconds fail_all(const changes_t& changes);
     void log_closed(const escrow_book& before, const escrow_book& after);
+    void log_shortages();
     boost::asio::awaitable<void> refresh(bool stale_allowed);
     boost::asio::awaitable<void> create_account();
     boost::asio::awaitable<milliseconds> step();
@@ -235,6 +236,8 @@
     time_point_t m_declared_at{};  ///< last time that it was sent
     std::minstd_rand m_random{std::random_device{}()};
     call_statistics m_calls;
+    /// Refusals that have been logged, by customer.
+    std::map<std::string, shortage_counts, std::less<>> m_logged_refusals;
     /// Tokens of closed holdings that count as spent but were not reported as
     /// used, over all writes of this process.
     token_count_t m_stranded = 0;
--- a/tests/unit/unit-wallet.cpp
+++ b/tests/unit/unit-wallet.cpp
@@ -99,6 +99,22 @@
           reserve_result::exhausted);
 }
 
+TEST_CASE("refusals for want of tokens are counted by cause", "[wallet]")
+{
+    wallet_fixture host;
+    host.set_budget(10, 0, 500);
+    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::undrawn);
+    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::undrawn);
+    host.wallets.update({{"clerks", {10, 500, 0, 1000, false}}});
+    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::no_draws);
+    host.wallets.update({{"clerks", {10, 500, 0, 1000, true, true}}});
+    CHECK(*host.reserve(60, milliseconds(0)) == reserve_result::unconfirmed);
+    CHECK(*host.reserve(5, milliseconds(0)) == reserve_result::reserved);
+    const auto state =
+        host.wallets.states(time_point_t::clock::now())["clerks"];
+    CHECK(state.refused == shortage_counts{2, 1, 1});
+}
+
 TEST_CASE("returned tokens do not include those in use", "[wallet]")
 {
     wallet_fixture host;
