--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -122,6 +122,16 @@
 bool close_ended(escrow_book& book, const process_id& self,
                  const std::map<process_id, token_map_t>& ceilings);
 
+/// @brief Requests refused for want of tokens, by cause; see reserve_result.
+struct shortage_counts
+{
+    std::uint64_t undrawn = 0;
+    std::uint64_t unconfirmed = 0;
+    std::uint64_t no_draws = 0;
+
+    bool operator==(const shortage_counts&) const = default;
+};
+
 /// @brief A host's tokens of one customer's budget, and the demand for them.
 struct wallet_state
 {
@@ -133,6 +143,7 @@
     double rate = 0;            ///< tokens per second used by this host
     double fleet_rate = 0;      ///< tokens per second of all hosts; 0: unknown
     std::uint64_t round = 0;    ///< version of the limits last applied
+    shortage_counts refused;    ///< since the start
 };
 
 /// @brief The state of each budget on a host, by customer.
@@ -142,20 +153,26 @@
 struct escrow_policy
 {
     double max_holding_s = 14;   ///< upper bound of a holding, seconds of use
-    double min_holding_s = 3;    ///< lower bound while the budget has tokens
     double undrawn_share = 0.35; ///< of the undrawn tokens; limit for all hosts
-    double low_watermark = 0.65; ///< of the target; below it the host draws
+    /// Seconds of the fleet's use that are undrawn, below which the limit for
+    /// all hosts falls faster than the undrawn tokens.
+    double scarce_s = 10;
+    double low_watermark = 0.65;    ///< of the target; below it the host draws
     double refill_watermark = 0.85; ///< of the target; below it a customer is
                                     ///< included in a write that is made anyway
     double high_watermark = 2.2;    ///< of the target; above it tokens return
-    double idle_share = 0.05;       ///< of the budget, held by all idle hosts
-    std::size_t hosts = 1;          ///< that draw on the budgets
+    /// The same for a target that is short because the budget is nearly used.
+    double scarce_high_watermark = 1.25;
+    double idle_share = 0.05; ///< of the budget, held by all idle hosts
+    std::size_t hosts = 1;    ///< that draw on the budgets
 };
 
 /// @brief The size of a holding, in seconds of the host's use.
 ///
 /// A larger holding bridges a longer outage of the store, but is lost if the
-/// host dies. So the size grows with the tokens left in the budget.
+/// host dies. So the size grows with the tokens left in the budget, and has no
+/// lower bound: what is held ahead of a nearly used budget is missing at the
+/// other hosts.
 /// @param[in] left  undrawn tokens in the store
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy);
