--- a/include/rhubarbgrade/detail/fleet/deployment.hpp
+++ b/include/rhubarbgrade/detail/fleet/deployment.hpp
@@ -60,7 +60,11 @@
 {
     std::string name;
     std::string health_path = "/healthz";
-    std::uint32_t max_connections = 100;  ///< to one endpoint, from all hosts
+    std::uint32_t max_connections = 100; ///< to one endpoint, from all hosts
+    milliseconds cold_time{0}; ///< for which an endpoint that starts is cold
+    /// Requests a second that a cold endpoint takes from all hosts; 0: as many
+    /// as a warm one.
+    double cold_per_s = 0;
     std::optional<engine_profile> engine; ///< set for model services
 };
 
--- a/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
@@ -15,13 +15,14 @@
 /// @brief An endpoint of the host list, with the state of its entry.
 struct listed_endpoint
 {
-    endpoint_entry entry;
+    endpoint_entry entry;   ///< without the time for which it is cold
     time_point_t seen{};    ///< when the entry of this process first appeared
     bool gone = false;      ///< the entry has been removed
     bool lapsed = false;    ///< removed around an outage of the store
     time_point_t gone_at{}; ///< when the entry was removed
     time_point_t kept_until{}; ///< removed only by the store's return to a copy
     time_point_t held_until{}; ///< listed again only by that; not used before
+    time_point_t cold_until{}; ///< as its entry has named
 };
 
 /// @brief A process of an endpoint whose entry was removed.
@@ -29,6 +30,7 @@
 {
     std::uint64_t started = 0; ///< as in endpoint_entry
     time_point_t gone_at{};
+    time_point_t seen{}; ///< as in listed_endpoint
 };
 
 /// @brief The endpoints of the host list, kept usable across outages of the
@@ -42,10 +44,11 @@
     std::map<std::string, listed_endpoint, std::less<>> endpoints;
     /// Removed lately, by id.
     std::map<std::string, former_endpoint, std::less<>> former;
-    time_point_t last_answer{};   ///< of the store, to any call
-    time_point_t failing_since{}; ///< first unanswered call after it
-    time_point_t back_since{};    ///< first answered call after an outage
-    bool reachable = false;       ///< whether the last call was answered
+    time_point_t first_listed_at{}; ///< the first list of all entries
+    time_point_t last_answer{};     ///< of the store, to any call
+    time_point_t failing_since{};   ///< first unanswered call after it
+    time_point_t back_since{};      ///< first answered call after an outage
+    bool reachable = false;         ///< whether the last call was answered
 };
 
 /// @brief Shortest outage of the store in which an entry can lapse: an entry
@@ -77,6 +80,9 @@
 void upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
                      time_point_t now);
 
+/// @brief The entry as others are told of it.
+endpoint_entry shared_entry(const listed_endpoint& endpoint, time_point_t now);
+
 /// @brief Marks an entry as removed.
 void remove_endpoint(endpoint_registry& book, std::string_view id,
                      time_point_t now);
--- a/include/rhubarbgrade/detail/fleet/endpoint_entry.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_entry.hpp
@@ -4,6 +4,7 @@
 #include <string>  // string
 
 #include <rhubarbgrade/detail/base/hash.hpp>           // hash64
+#include <rhubarbgrade/detail/base/types.hpp>          // milliseconds
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // socket_address
 
 namespace rhubarbgrade
@@ -20,6 +21,7 @@
     std::uint32_t slots = 1;   ///< requests that it can run at once
     bool leaving = false;      ///< draining; gets no new requests
     std::uint64_t started = 0; ///< start of its process, ms since 1970
+    milliseconds cold{0};      ///< for which it takes fewer requests
 
     bool operator==(const endpoint_entry&) const = default;
 };
--- a/include/rhubarbgrade/detail/fleet/fleet_view.hpp
+++ b/include/rhubarbgrade/detail/fleet/fleet_view.hpp
@@ -33,9 +33,13 @@
     std::shared_ptr<const deployment> configuration;
     std::vector<endpoint_entry> endpoints; ///< without leaving ones
     std::map<std::string, trial_split, std::less<>> splits; ///< by service
+    /// Availability zones whose endpoints get no new requests.
+    std::set<std::string> evacuated_zones;
     /// This host's shares of the request limits that endpoints have named, by
     /// the hash of their process.
     std::map<std::uint64_t, request_share> request_shares;
+    /// The same for what cold endpoints take.
+    std::map<std::uint64_t, request_share> cold_shares;
     /// The same for the slots of brittle endpoints.
     std::map<std::uint64_t, slot_share> slot_shares;
     std::size_t hosts = 1; ///< among which fleet-wide limits are divided
--- a/include/rhubarbgrade/detail/fleet/node_settings.hpp
+++ b/include/rhubarbgrade/detail/fleet/node_settings.hpp
@@ -25,8 +25,10 @@
     milliseconds contact{3000}; ///< fault-free time after which limits apply
     milliseconds drain{2000};   ///< until a leaving endpoint gets no request
     milliseconds grace{8000};   ///< from the stop signal to the kill
-    milliseconds config_apply{2000};  ///< until a new configuration is in force
-    milliseconds rollback{5000};      ///< until a bad version gets no request
+    milliseconds config_apply{2000}; ///< until a new configuration is in force
+    milliseconds rollback{5000};     ///< until a bad version gets no request
+    /// Until an evacuated zone gets no request; empty: no bound.
+    std::optional<milliseconds> evacuate;
     double retry_ratio = 0.2;         ///< retries allowed per request
     milliseconds retry_window{10000}; ///< window in which retries count
     double retry_slack = 50;     ///< retries of all hosts on top of the ratio
--- a/include/rhubarbgrade/detail/routing/admission.hpp
+++ b/include/rhubarbgrade/detail/routing/admission.hpp
@@ -7,7 +7,7 @@
 {
 
 /// @brief Whether a request may be sent to an endpoint now, or why not.
-enum class admission
+enum class admission_result
 {
     admitted,
     already_tried, ///< by this request
@@ -36,10 +36,10 @@
     std::uint32_t limit = 1;     ///< most of them
 };
 
-/// @return the first reason that applies, in the order of @ref admission
-admission admit(const admission_state& state);
+/// @return the first reason that applies, in the order of @ref admission_result
+admission_result admit(const admission_state& state);
 
 /// @return the name, as in logs
-std::string_view to_string(admission reason);
+std::string_view to_string(admission_result reason);
 
 } // namespace rhubarbgrade
--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbgrade/detail/fleet/endpoint_book.hpp>
 
 #include <algorithm>   // max
+#include <chrono>      // ceil
 #include <cstddef>     // size_t
 #include <map>         // map
 #include <set>         // set
@@ -78,8 +79,15 @@
 {
     auto& known = book.endpoints[entry.id];
     if (known.entry.id.empty() || known.entry.started != entry.started)
-        known.seen = now;
+    {
+        const auto former = book.former.find(entry.id);
+        const bool same_process = former != book.former.end() &&
+                                  former->second.started == entry.started;
+        known.seen = same_process ? former->second.seen : now;
+    }
     known.entry = entry;
+    known.entry.cold = {};
+    known.cold_until = now + entry.cold;
     known.gone = false;
     known.lapsed = false;
     known.kept_until = {};
@@ -87,6 +95,14 @@
     book.former.erase(entry.id);
 }
 
+endpoint_entry shared_entry(const listed_endpoint& endpoint, time_point_t now)
+{
+    auto entry = endpoint.entry;
+    if (endpoint.cold_until > now)
+        entry.cold = std::chrono::ceil<milliseconds>(endpoint.cold_until - now);
+    return entry;
+}
+
 void remove_endpoint(endpoint_registry& book, std::string_view id,
                      time_point_t now)
 {
@@ -98,13 +114,16 @@
     known->second.lapsed =
         may_be_lapse(book, now) && !known->second.entry.leaving;
     if (!known->second.lapsed)
-        book.former[known->first] = {known->second.entry.started, now};
+        book.former[known->first] = {known->second.entry.started, now,
+                                     known->second.seen};
 }
 
 void replace_endpoints(endpoint_registry& book,
                        const std::vector<endpoint_entry>& entries,
                        time_point_t now)
 {
+    if (book.first_listed_at == time_point_t{})
+        book.first_listed_at = now;
     std::set<std::string, std::less<>> present;
     for (const auto& entry : entries)
     {
@@ -125,6 +144,7 @@
     {
         present.insert(entry.id);
         const auto known = book.endpoints.find(entry.id);
+        time_point_t cold_until{};
         if (known != book.endpoints.end() && !known->second.gone)
         {
             // An older process than the known one has ended.
@@ -133,13 +153,18 @@
             entry.leaving = entry.leaving ||
                             (known->second.entry.started == entry.started &&
                              known->second.entry.leaving);
+            // It may have become cold since.
+            if (entry.started == known->second.entry.started)
+                cold_until = known->second.cold_until;
         }
         const auto former = book.former.find(entry.id);
         const bool had_left = former != book.former.end() &&
                               entry.started <= former->second.started;
         upsert_endpoint(book, entry, now);
+        auto& listed = book.endpoints[entry.id];
+        listed.cold_until = std::max(listed.cold_until, cold_until);
         if (had_left)
-            book.endpoints[entry.id].held_until = now + entry_lifetime;
+            listed.held_until = now + entry_lifetime;
     }
     for (auto& [id, known] : book.endpoints)
         if (!known.gone && !present.contains(id))
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -511,6 +511,8 @@
     if (report.complete || report.outcome == attempt_outcome::may_have_run ||
         report.outcome == attempt_outcome::failed)
         m_may_have_run = true;
+    if (report.withheld)
+        return;
     // An attempt cancelled by the caller or by the deadline is no evidence of
     // the endpoint's health.
     if (!m_disconnected && !m_deadline_passed && !report.path_failed)
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -311,6 +311,14 @@
     if (!m_link || m_cancelled)
         co_return report;
     m_relayed = m_link->relayed;
+    // Its zone may have been evacuated while the connection opened.
+    if (m_endpoint->evacuated)
+    {
+        m_directory.return_connection(*m_endpoint, std::move(m_link),
+                                      time_point_t::clock::now());
+        report.withheld = true;
+        co_return report;
+    }
     // What may run again does not wait for an answer that can't come.
     if (params.repeatable && !m_relayed)
         watch_path();
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -143,23 +143,43 @@
            (endpoint.entry.version == split->target) == to_trial_version;
 }
 
-/// Whether the endpoint's request limit, if it has one, lets this host send a
-/// request.
-bool limit_allows(pool_endpoint& endpoint, time_point_t now)
+/// Whether a shared rate, if there is one, lets this host send a request.
+bool allows(limited_use& use, time_point_t now)
 {
-    if (!endpoint.share)
+    if (!use.share)
         return true;
-    refill(endpoint.bucket, *endpoint.share, now);
-    return has_token(endpoint.bucket);
+    refill(use.bucket, *use.share, now);
+    return has_token(use.bucket);
 }
 
-/// Time until the endpoint's request limit lets this host send a request; empty
-/// if the host has no share of it.
-std::optional<milliseconds> time_to_token(const pool_endpoint& endpoint)
+/// Time until a shared rate lets this host send a request; empty if the host
+/// has no share of it.
+std::optional<milliseconds> time_to_token(const limited_use& use)
 {
-    if (!endpoint.share)
+    if (!use.share)
         return std::nullopt;
-    return rhubarbgrade::time_to_token(endpoint.bucket, *endpoint.share);
+    return rhubarbgrade::time_to_token(use.bucket, *use.share);
+}
+
+/// Counts a request against a shared rate.
+void count(limited_use& use, time_point_t now)
+{
+    if (!use.share)
+        return;
+    refill(use.bucket, *use.share, now);
+    use.bucket.tokens -= 1;
+}
+
+/// Takes over the share of a process. A new bucket is empty.
+void set_share(limited_use& use,
+               const std::map<std::uint64_t, request_share>& shares,
+               std::uint64_t process)
+{
+    const auto share = shares.find(process);
+    if (share == shares.end())
+        use = {};
+    else
+        use.share = share->second;
 }
 
 /// What this host knows of an engine's queue; it fades with its age.
@@ -264,15 +284,11 @@
         }
         known->entry = entry;
         known->listed = true;
-        const auto share = view->request_shares.find(process_hash(entry));
-        if (share == view->request_shares.end())
-        {
-            known->share.reset();
-            known->bucket = {};
-        }
-        else
-            known->share = share->second;
-        const auto slots = view->slot_shares.find(process_hash(entry));
+        known->evacuated = view->evacuated_zones.contains(entry.zone);
+        const auto process = process_hash(entry);
+        set_share(known->limit, view->request_shares, process);
+        set_share(known->cold_rate, view->cold_shares, process);
+        const auto slots = view->slot_shares.find(process);
         if (slots == view->slot_shares.end())
             known->slots_here.reset();
         else
@@ -291,10 +307,8 @@
 void endpoint_directory::count_request(pool_endpoint& endpoint,
                                        time_point_t now)
 {
-    if (!endpoint.share)
-        return;
-    refill(endpoint.bucket, *endpoint.share, now);
-    endpoint.bucket.tokens -= 1;
+    count(endpoint.limit, now);
+    count(endpoint.cold_rate, now);
 }
 
 bool endpoint_directory::has_engine(std::string_view service) const
@@ -321,27 +335,36 @@
     std::optional<milliseconds> shortest;
     for (const auto& each : pool->second)
     {
-        if (!any_version && !version_allowed(*each, to_trial_version, split))
-            continue;
-        any_allowed = true;
-        if (!limit_allows(*each, now))
+        auto state =
+            condition_of(*each,
+                         engine ? queue_of(*each, criteria, m_view->hosts, now)
+                                : engine_queue(),
+                         criteria, now);
+        state.version_allowed =
+            any_version || version_allowed(*each, to_trial_version, split);
+        state.ejected = false; // for a moment only
+        const auto reason = admit(state);
+        any_allowed = any_allowed || reason != admission_result::other_version;
+        switch (reason)
         {
-            const auto wait = time_to_token(*each);
-            if (wait && (!shortest || *wait < *shortest))
+        case admission_result::other_version:
+        case admission_result::evacuated:
+            break;
+        case admission_result::cold:
+        case admission_result::request_limit:
+            if (const auto wait = time_to_token(reason == admission_result::cold
+                                                    ? each->cold_rate
+                                                    : each->limit);
+                wait && (!shortest || *wait < *shortest))
                 shortest = wait;
-        }
-        else if (has_no_room(*each,
-                             engine
-                                 ? queue_of(*each, criteria, m_view->hosts, now)
-                                 : engine_queue(),
-                             m_view->hosts, now))
-            shortest = milliseconds(0);
-        else if (engine &&
-                 is_saturated(queue_of(*each, criteria, m_view->hosts, now),
-                              criteria.objective))
+            break;
+        case admission_result::brittle:
+        case admission_result::saturated:
             shortest = milliseconds(0);
-        else
+            break;
+        default:
             return std::nullopt;
+        }
     }
     // Endpoints of the version may be listed in a moment.
     if (!any_allowed)
@@ -349,6 +372,32 @@
     return shortest.value_or(milliseconds(0));
 }
 
+admission_state endpoint_directory::condition_of(
+    pool_endpoint& endpoint, const engine_queue& queue,
+    const endpoint_criteria& criteria, time_point_t now) const
+{
+    admission_state state;
+    state.evacuated = endpoint.evacuated;
+    state.cold_share_left = allows(endpoint.cold_rate, now);
+    state.limit_share_left = allows(endpoint.limit, now);
+    state.brittle_share_left =
+        !has_no_room(endpoint, queue, m_view->hosts, now);
+    state.ejected = now < endpoint.ejected_until;
+    state.saturated =
+        has_engine(criteria.service) && is_saturated(queue, criteria.objective);
+    state.in_flight = endpoint.in_flight;
+    state.limit = slot_limit(endpoint, m_view->hosts);
+    return state;
+}
+
+std::size_t endpoint_directory::evacuated_in_flight() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, each] : m_by_id)
+        count += each->evacuated ? each->in_flight : 0;
+    return count;
+}
+
 const trial_split*
 endpoint_directory::find_split(std::string_view service) const
 {
@@ -389,7 +438,6 @@
         candidate_state.identity = each->identity;
         candidate_state.same_zone = each->entry.zone == m_zone;
         candidate_state.in_flight = each->in_flight;
-        candidate_state.limit = slot_limit(*each, m_view->hosts);
         const std::chrono::duration<double> age = now - each->reported_at;
         candidate_state.reported_load =
             each->reported_load * std::exp(-age.count() / load_decay_s);
@@ -400,13 +448,15 @@
         candidate_state.prompt_tokens_waiting = each->prompt_tokens_waiting;
         candidate_state.cached_tokens =
             cached_tokens(*each, criteria.parts, now);
-        candidate_state.usable =
-            each->listed && now >= each->ejected_until &&
-            limit_allows(*each, now) &&
-            !has_no_room(*each, candidate_state.queue, m_view->hosts, now) &&
-            version_allowed(*each, to_trial_version, split) &&
-            std::find(criteria.tried.begin(), criteria.tried.end(), each) ==
-                criteria.tried.end();
+        auto condition =
+            condition_of(*each, candidate_state.queue, criteria, now);
+        condition.version_allowed =
+            version_allowed(*each, to_trial_version, split);
+        condition.tried =
+            std::find(criteria.tried.begin(), criteria.tried.end(), each) !=
+            criteria.tried.end();
+        candidate_state.limit = condition.limit;
+        candidate_state.usable = admit(condition) == admission_result::admitted;
         candidates.push_back(candidate_state);
     }
     placing_costs costs;
@@ -572,7 +622,7 @@
     const auto& failures = m_paths.find(service)->second.reach.failures;
     std::vector<endpoint_ptr_t> unknown;
     for (const auto& each : pool->second)
-        if (!failures.contains(each->identity))
+        if (!failures.contains(each->identity) && !each->evacuated)
             unknown.push_back(each);
     const auto& targets = unknown.empty() ? pool->second : unknown;
     return targets[m_random() % targets.size()];
@@ -804,7 +854,7 @@
             m_on_limit({process, per_s, sent_at, now, head.not_run, kind});
     };
     report(limit_kind::requests, head.names_limit, head.limit_per_s,
-           endpoint.share.has_value());
+           endpoint.limit.share.has_value());
     report(limit_kind::rejections, head.names_brittle, head.rejections_per_s,
            endpoint.slots_here.has_value());
     if (head.not_run)
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>       // size_t
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -12,10 +13,12 @@
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 #include <boost/asio/awaitable.hpp>       // awaitable
 
-#include <rhubarbgrade/detail/fleet/fleet_view.hpp> // fleet_view_ptr_t
-#include <rhubarbgrade/detail/routing/choose.hpp>   // random_source_t
-#include <rhubarbgrade/detail/routing/reach.hpp>    // service_reach
-#include <rhubarbgrade/detail/routing/relay.hpp>    // relay_host
+#include <rhubarbgrade/detail/fleet/fleet_view.hpp>  // fleet_view_ptr_t
+#include <rhubarbgrade/detail/placing/place.hpp>     // engine_queue
+#include <rhubarbgrade/detail/routing/admission.hpp> // admission_state
+#include <rhubarbgrade/detail/routing/choose.hpp>    // random_source_t
+#include <rhubarbgrade/detail/routing/reach.hpp>     // service_reach
+#include <rhubarbgrade/detail/routing/relay.hpp>     // relay_host
 
 #include "pool_endpoint.hpp" // endpoint_link, pool_endpoint
 
@@ -84,6 +87,9 @@
     std::optional<milliseconds> capacity_wait(const endpoint_criteria& criteria,
                                               time_point_t now) const;
 
+    /// @brief This host's requests at endpoints of evacuated zones.
+    std::size_t evacuated_in_flight() const;
+
     /// @brief Whether any endpoint of the service is known.
     bool serves(std::string_view service) const;
 
@@ -196,6 +202,12 @@
     /// Relays that have not failed a moment ago.
     std::vector<relay_host> usable_relays(time_point_t now) const;
     bool has_engine(std::string_view service) const;
+    /// What decides on an admission, except for the request's own versions and
+    /// earlier attempts.
+    admission_state condition_of(pool_endpoint& endpoint,
+                                 const engine_queue& queue,
+                                 const endpoint_criteria& criteria,
+                                 time_point_t now) const;
     /// @return null if the service has no version on trial
     const trial_split* find_split(std::string_view service) const;
     endpoint_ptr_t choose_from(const std::vector<endpoint_ptr_t>& pool,
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -38,12 +38,20 @@
     std::unordered_map<std::uint64_t, entry> m_entries;
 };
 
+/// @brief What this host uses of a rate that all hosts share.
+struct limited_use
+{
+    std::optional<request_share> share; ///< empty: no limit
+    request_bucket bucket;
+};
+
 /// @brief One endpoint with its state as observed by this host.
 struct pool_endpoint
 {
     endpoint_entry entry;
     std::uint64_t identity = 0; ///< hash of the id
     bool listed = true;         ///< in the latest view of the fleet
+    bool evacuated = false;     ///< its zone is, in that view
     std::vector<endpoint_link_ptr_t> idle;
     std::uint32_t in_flight = 0;
     token_count_t prompt_tokens_waiting = 0; ///< of the requests in flight
@@ -58,9 +66,8 @@
     time_point_t last_wait_at{};
     time_point_t reported_at{};
     recent_prompt_parts recent_parts;
-    /// This host's share of the endpoint's request limit, if it has one.
-    std::optional<request_share> share;
-    request_bucket bucket; ///< of the share
+    limited_use limit;     ///< of its request limit, if it has one
+    limited_use cold_rate; ///< of what it takes while it is cold
     /// This host's part of the slots if the endpoint is brittle.
     std::optional<slot_share> slots_here;
     time_point_t rejected_at{}; ///< a request, for want of room
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -102,7 +102,7 @@
         process ? m_context.directory.find_process(*process) : nullptr;
     if (!endpoint)
         co_return http::status::not_found;
-    if (m_context.stopping ||
+    if (m_context.stopping || endpoint->evacuated ||
         m_context.directory.is_cut(endpoint->entry.service))
         co_return http::status::service_unavailable;
     auto opened = co_await m_context.directory.open_direct(endpoint);
--- a/src/node/member_keeper.cpp
+++ b/src/node/member_keeper.cpp
@@ -81,6 +81,8 @@
 {
     hasher hash;
     hash.add(heartbeat.store_era);
+    hash.add(heartbeat.evacuations.era);
+    hash.add(heartbeat.evacuations.revision);
     hash.add(heartbeat.address);
     hash.add(heartbeat.zone);
     hash.add(heartbeat.relay_port);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -1,6 +1,6 @@
 #include "node_control.hpp"
 
-#include <algorithm> // includes, max
+#include <algorithm> // any_of, includes, max
 #include <chrono>    // duration_cast
 #include <memory>    // make_shared
 #include <utility>   // exchange, move
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/co_spawn.hpp>      // co_spawn
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
+#include <spdlog/fmt/ranges.h>          // join
 #include <spdlog/spdlog.h>              // info, warn
 
 #include <platform/object_decoders.hpp> // decode_deployment, decode_endpoint
@@ -29,6 +30,15 @@
 /// checked; a fifth of the shortest time bound that they have to keep.
 constexpr milliseconds tick_period{200};
 
+/// Time for which a host that knows the endpoints waits for the evacuations.
+/// Peers of an earlier version don't tell them, and the store may be away.
+constexpr milliseconds max_evacuation_wait{2000};
+
+/// Time by which a host has started earlier if not all have lost power
+/// together, in ms; one that has lost it starts within some seconds of the
+/// others.
+constexpr std::uint64_t min_head_start_ms = 10000;
+
 /// Interval at which the calls to the store are logged.
 constexpr milliseconds log_interval{5000};
 
@@ -79,6 +89,8 @@
 {
     reader_policy policy;
     policy.apply_bound = std::min(bounds.config_apply, bounds.drain);
+    if (bounds.evacuate)
+        policy.apply_bound = std::min(policy.apply_bound, *bounds.evacuate);
     return policy;
 }
 
@@ -133,6 +145,7 @@
       m_limits(settings.host),
       m_brittle(settings.host),
       m_started(time_point_t::clock::now()),
+      m_started_at_ms(unix_time_ms()),
       m_confirmed_at(m_started)
 {
 }
@@ -287,6 +300,11 @@
                          std::string(platform::move_kind),
                          make_move_listener()),
           "watch of the moves");
+    spawn(m_loop,
+          list_and_watch(m_store, m_reader.gate(),
+                         std::string(platform::evacuation_kind),
+                         make_evacuation_listener()),
+          "watch of the evacuations");
     spawn(m_loop, m_reader.probe(), "signs of life of the store");
     spawn(m_loop, m_escrow.run(), "escrow writer");
     spawn(m_loop, m_witnesses.run(), "witness confirmations");
@@ -357,7 +375,7 @@
         else
             replace_endpoints(m_endpoints, entries, now);
         m_listed_era = m_store.era();
-        m_endpoints_known = true;
+        set_endpoints_known(now);
         set_position({m_store.era(), revision}, now);
         publish();
         m_peers.hasten_heartbeat();
@@ -379,9 +397,10 @@
                          in_outage(m_endpoints, now),
                          age_ms(m_endpoints.back_since, now));
         if (found != m_endpoints.endpoints.end())
-            m_changes.push_back({now,
-                                 {found->second.entry, found->second.gone,
-                                  found->second.lapsed, 0}});
+            m_changes.push_back(
+                {now,
+                 {shared_entry(found->second, now), found->second.gone,
+                  found->second.lapsed, 0}});
     };
     listener.answered = [this](bool answered)
     {
@@ -433,6 +452,83 @@
     return listener;
 }
 
+watch_listener node_control::make_evacuation_listener()
+{
+    const auto zone_of = [](const platform::stored_object& object)
+    {
+        auto zone = platform::decode_evacuation(object);
+        if (!zone)
+            spdlog::warn("event=evacuation_ignored revision={} {}",
+                         object.revision, zone.error().message());
+        return zone;
+    };
+    watch_listener listener;
+    listener.reached = [this](std::uint64_t revision)
+    {
+        const auto before = m_evacuations.list.zones;
+        if (reach_position(m_evacuations, m_store.era(), revision))
+            on_evacuations_changed(before);
+    };
+    listener.known = [this]
+    {
+        return m_evacuations.list.revision != 0;
+    };
+    listener.known_up_to = [this]
+    {
+        const auto& list = m_evacuations.list;
+        return list.era == m_store.era() ? list.revision : 0;
+    };
+    listener.snapshot = [this, zone_of](const auto& objects, auto revision)
+    {
+        evacuation_list list{m_store.era(), revision, {}};
+        for (const auto& each : objects)
+            if (auto zone = zone_of(each))
+                list.zones.insert(std::move(*zone));
+        apply_evacuations(list);
+    };
+    listener.changed = [this, zone_of](const auto& event)
+    {
+        const auto& object = event.object;
+        record_change(m_evacuations, object.name,
+                      !event.removed && zone_of(object).has_value());
+    };
+    listener.answered = [this](bool answered)
+    {
+        record_store_answer(answered);
+    };
+    return listener;
+}
+
+void node_control::apply_evacuations(const evacuation_list& list)
+{
+    const auto before = m_evacuations.list.zones;
+    if (merge(m_evacuations, list))
+        on_evacuations_changed(before);
+    else if (may_serve(time_point_t::clock::now()) != m_may_serve)
+        publish();
+}
+
+void node_control::on_evacuations_changed(const std::set<std::string>& before)
+{
+    const auto& list = m_evacuations.list;
+    for (const auto& each : before)
+        if (!list.zones.contains(each))
+            m_cold_evidence.returns[each] = time_point_t::clock::now();
+    spdlog::info("event=evacuations zones=[{}] era={} revision={} reads={}",
+                 fmt::join(list.zones, ","), list.era, list.revision,
+                 m_reader.reads());
+    publish();
+    if (m_reader.speaks())
+        m_peers.hasten_heartbeat();
+}
+
+bool node_control::may_serve(time_point_t now) const
+{
+    return m_endpoints_known &&
+           (m_evacuations.list.revision != 0 ||
+            now - m_endpoints_known_at >= max_evacuation_wait);
+}
+
 void node_control::record_store_answer(bool answered)
 {
     m_reader.record_answer(answered, time_point_t::clock::now());
@@ -458,6 +554,12 @@
            now - m_reader.answered_at() < max_answer_age;
 }
 
+void node_control::set_endpoints_known(time_point_t now)
+{
+    if (!std::exchange(m_endpoints_known, true))
+        m_endpoints_known_at = now;
+}
+
 void node_control::set_position(store_position position, time_point_t now)
 {
     m_position = position;
@@ -546,7 +648,9 @@
 
 void node_control::confirm_age(const peer_news& news, time_point_t now)
 {
-    if (news.sender.state_age)
+    // Of a sender that doesn't know the evacuations, this host can't learn
+    // them.
+    if (news.sender.state_age && news.sender.evacuations.revision != 0)
         m_confirmed_at = std::max(m_confirmed_at, now - *news.sender.state_age);
 }
 
@@ -557,7 +661,7 @@
         return;
     // While this host reads by itself, it only notes that it need not.
     if (news.sender.host == m_reader.chosen_host() && news.sender.fresh &&
-        news.sender.state_age)
+        news.sender.state_age && news.sender.evacuations.revision != 0)
         m_told_at = std::max(m_told_at, now - *news.sender.state_age);
     if (reads_store(now))
         return;
@@ -680,14 +784,21 @@
 void node_control::publish()
 {
     auto view = std::make_shared<fleet_view>();
-    if (m_endpoints_known && !m_configuration_overdue)
+    m_may_serve = may_serve(time_point_t::clock::now());
+    if (m_may_serve && !m_configuration_overdue)
         view->configuration = m_configuration;
     view->endpoints = usable_endpoints(m_endpoints, time_point_t::clock::now());
     view->splits = m_moves.splits();
+    view->evacuated_zones = m_evacuations.list.zones;
     view->hosts = m_host_count;
     view->crash_suspects = m_published_suspects;
     view->quarantined = m_published_quarantine;
     view->request_shares = m_published_shares;
+    auto cold = share_cold(time_point_t::clock::now());
+    if (cold.size() != m_published_cold.size())
+        spdlog::info("event=cold_endpoints count={}", cold.size());
+    m_published_cold = std::move(cold);
+    view->cold_shares = m_published_cold;
     view->slot_shares = m_published_slots;
     view->relays = m_published_relays;
     view->host_ips = m_host_ips;
@@ -738,17 +849,19 @@
             std::max(now - confirmed_at(), time_point_t::duration::zero()));
     heartbeat.store_failing = m_reader.failing();
     heartbeat.store_era = m_store.era();
+    heartbeat.evacuations = m_evacuations.list;
     return heartbeat;
 }
 
 peer_state node_control::make_state() const
 {
+    const auto now = time_point_t::clock::now();
     peer_state state;
     state.configuration = m_configuration_text;
     state.version = m_configuration ? m_configuration->version : 0;
     for (const auto& [id, known] : m_endpoints.endpoints)
         if (!known.gone)
-            state.endpoints.push_back(known.entry);
+            state.endpoints.push_back(shared_entry(known, now));
     state.moves = m_moves.moves(time_point_t::clock::now());
     state.position = m_position;
     return state;
@@ -758,6 +871,7 @@
                                 time_point_t made_at)
 {
     const auto now = time_point_t::clock::now();
+    apply_evacuations(heartbeat.evacuations);
     for (const auto& each : heartbeat.evidence)
         if (heartbeat.started == 0)
             m_moves.set_foreign_evidence(heartbeat.host, each);
@@ -827,7 +941,7 @@
     else
         replace_endpoints(m_endpoints, state.endpoints, now);
     set_position(std::max(m_position, position), now);
-    m_endpoints_known = true;
+    set_endpoints_known(now);
     m_moves_known = true;
     std::set<std::string> services;
     for (const auto& each : state.moves)
@@ -897,6 +1011,35 @@
     return shares;
 }
 
+std::map<std::uint64_t, request_share>
+node_control::share_cold(time_point_t now) const
+{
+    if (!m_configuration)
+        return {};
+    return share_cold_endpoints(m_endpoints, *m_configuration, m_cold_evidence,
+                                m_settings.host, m_members.live_hosts(now),
+                                m_host_count, now);
+}
+
+bool node_control::others_run(time_point_t now) const
+{
+    const auto reports = m_members.live_reports(now);
+    return std::any_of(reports.begin(), reports.end(),
+                       [this](const auto* each)
+                       {
+                           return each->started != 0 &&
+                                  each->started + min_head_start_ms <
+                                      m_started_at_ms;
+                       });
+}
+
+void node_control::publish_cold(time_point_t now)
+{
+    m_cold_evidence.others_run = m_cold_evidence.others_run || others_run(now);
+    if (share_cold(now) != m_published_cold)
+        publish();
+}
+
 void node_control::set_relay_port(std::uint16_t port)
 {
     m_relay_port = port;
@@ -1030,8 +1173,11 @@
         publish_crashes(now);
         forget_gone_limits();
         publish_limits(now);
+        publish_cold(now);
         publish_relays(now);
         check_configuration(now);
+        if (may_serve(now) != m_may_serve)
+            publish();
         auto endpoints = usable_endpoints(m_endpoints, now);
         auto next_splits = m_moves.splits();
         if (endpoints != m_published_endpoints || next_splits != splits)
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -14,9 +14,11 @@
 #include <boost/asio/io_context.hpp>   // io_context
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
-#include <rhubarbgrade/detail/fleet/endpoint_book.hpp> // endpoint_registry
-#include <rhubarbgrade/detail/fleet/fleet_view.hpp>    // fleet_view_ptr_t
-#include <rhubarbgrade/detail/fleet/node_settings.hpp> // node_settings
+#include <rhubarbgrade/detail/fleet/cold_endpoints.hpp> // cold_evidence
+#include <rhubarbgrade/detail/fleet/endpoint_book.hpp>  // endpoint_registry
+#include <rhubarbgrade/detail/fleet/evacuations.hpp>    // evacuation_book
+#include <rhubarbgrade/detail/fleet/fleet_view.hpp>     // fleet_view_ptr_t
+#include <rhubarbgrade/detail/fleet/node_settings.hpp>  // node_settings
 
 #include "../gateway/traffic_context.hpp" // version_sample
 #include "../peers/peer_exchange.hpp"     // peer_exchange
@@ -94,6 +96,7 @@
     watch_listener make_configuration_listener();
     watch_listener make_endpoint_listener();
     watch_listener make_move_listener();
+    watch_listener make_evacuation_listener();
     peer_listener make_peer_listener();
     escrow_listener make_escrow_listener();
     witness_callbacks make_witness_callbacks();
@@ -114,6 +117,13 @@
     /// Publishes the hosts if they have changed.
     void publish_hosts();
     void apply_peer_state(const peer_state& state);
+    /// Takes over a newer list of evacuations.
+    void apply_evacuations(const evacuation_list& list);
+    /// @param[in] before  the zones that were evacuated
+    void on_evacuations_changed(const std::set<std::string>& before);
+    /// Whether requests may be sent: the evacuations are known, or nobody has
+    /// told them for a while.
+    bool may_serve(time_point_t now) const;
     void record_store_answer(bool answered);
     /// When this host's state was the store's, at least.
     time_point_t confirmed_at() const;
@@ -137,6 +147,7 @@
     void choose_reader(time_point_t now);
     /// Lets this host read the store as soon as its state gets too old.
     boost::asio::awaitable<void> watch_state_age();
+    void set_endpoints_known(time_point_t now);
     void set_position(store_position position, time_point_t now);
     /// Revision up to which changes of all kinds are known here, even if others
     /// have read them; 0: not known.
@@ -151,6 +162,11 @@
     /// Publishes if this host's shares of request limits have changed.
     /// @return whether they have
     bool publish_limits(time_point_t now);
+    /// Publishes if this host's shares of cold endpoints have changed.
+    void publish_cold(time_point_t now);
+    /// Whether a live host has run since well before this one started.
+    bool others_run(time_point_t now) const;
+    std::map<std::uint64_t, request_share> share_cold(time_point_t now) const;
     void forget_gone_limits();
     /// This host's part of the slots of brittle endpoints, by process.
     std::map<std::uint64_t, slot_share> share_slots(time_point_t now) const;
@@ -175,6 +191,8 @@
     endpoint_registry m_endpoints;
     /// Revisions of the entries that name no endpoint, by name.
     std::map<std::string, std::uint64_t> m_unusable;
+    evacuation_book m_evacuations;
+    cold_evidence m_cold_evidence;
     std::shared_ptr<const deployment> m_configuration;
     std::string m_configuration_text; ///< as stored, for peers
     std::vector<endpoint_entry> m_published_endpoints;
@@ -182,14 +200,16 @@
     std::map<std::uint64_t, int> m_published_quarantine;
     std::map<std::uint64_t, request_share> m_published_shares;
     std::map<std::uint64_t, slot_share> m_published_slots;
+    std::map<std::uint64_t, request_share> m_published_cold;
     std::vector<relay_host> m_published_relays;
     std::set<std::string> m_host_ips;
     std::uint16_t m_relay_port = 0; ///< of this host
     std::size_t m_host_count = assumed_host_count;
     const time_point_t m_started;
-    time_point_t m_confirmed_at; ///< by a peer; see confirmed_at
-    time_point_t m_told_at{};    ///< state of the zone's reader, in its news
-    store_position m_position;   ///< of the endpoints
+    const std::uint64_t m_started_at_ms; ///< the same in Unix time
+    time_point_t m_confirmed_at;         ///< by a peer; see confirmed_at
+    time_point_t m_told_at{};  ///< state of the zone's reader, in its news
+    store_position m_position; ///< of the endpoints
     /// Two earlier ones, some seconds apart, and when they were reached.
     std::array<store_position, 2> m_earlier{};
     std::array<time_point_t, 2> m_earlier_at{};
@@ -200,6 +220,8 @@
     bool m_configuration_overdue = false; ///< refuses requests meanwhile
     bool m_was_current = false;           ///< the state, at the last tick
     bool m_endpoints_known = false;
+    time_point_t m_endpoints_known_at{};
+    bool m_may_serve = false; ///< as published
     bool m_moves_known = false;
     std::uint64_t m_told_era = 0;   ///< of the store, in heartbeats
     std::uint64_t m_listed_era = 0; ///< of the store's last endpoint list
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -84,6 +84,11 @@
   stateAge @18 :UInt32;      # of its state, ms plus one; 0: unknown
   storeFailing @19 :Bool;    # the store doesn't answer the sender
   storeEra @20 :UInt64;      # the latest that the sender knows
+  # Availability zones whose endpoints get no new requests, as of an era and
+  # revision of the store; revision 0: the sender doesn't know.
+  evacuatedZones @21 :List(Text);
+  evacuationsEra @22 :UInt64;
+  evacuationsRevision @23 :UInt64;
 }
 
 # A host's report as others pass it on.
@@ -226,6 +231,7 @@
   slots @6 :UInt32;
   started @7 :UInt64;
   leaving @8 :Bool;
+  coldMs @9 :UInt32;         # for which it takes fewer requests
 }
 
 struct Move {
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -168,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 7, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(feb5e87063845c5c, 9, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -387,7 +387,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(973f3dc51ee83eb9, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(973f3dc51ee83eb9, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1175,6 +1175,13 @@
 
   inline  ::uint64_t getStoreEra() const;
 
+  inline bool hasEvacuatedZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuatedZones() const;
+
+  inline  ::uint64_t getEvacuationsEra() const;
+
+  inline  ::uint64_t getEvacuationsRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1302,6 +1309,20 @@
   inline  ::uint64_t getStoreEra();
   inline void setStoreEra( ::uint64_t value);
 
+  inline bool hasEvacuatedZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuatedZones();
+  inline void setEvacuatedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuatedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuatedZones(unsigned int size);
+  inline void adoptEvacuatedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuatedZones();
+
+  inline  ::uint64_t getEvacuationsEra();
+  inline void setEvacuationsEra( ::uint64_t value);
+
+  inline  ::uint64_t getEvacuationsRevision();
+  inline void setEvacuationsRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2797,6 +2818,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint32_t getColdMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2872,6 +2895,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint32_t getColdMs();
+  inline void setColdMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4199,6 +4225,72 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasEvacuatedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasEvacuatedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Beat::Reader::getEvacuatedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Beat::Builder::getEvacuatedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setEvacuatedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void Beat::Builder::setEvacuatedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Beat::Builder::initEvacuatedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptEvacuatedZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Beat::Builder::disownEvacuatedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Beat::Reader::getEvacuationsEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getEvacuationsEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setEvacuationsEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getEvacuationsRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getEvacuationsRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setEvacuationsRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasBeat() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6153,6 +6245,20 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Endpoint::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Endpoint::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Endpoint::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Move::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -80,6 +80,7 @@
     to.setSlots(from.slots);
     to.setStarted(from.started);
     to.setLeaving(from.leaving);
+    to.setColdMs(static_cast<std::uint32_t>(from.cold.count()));
 }
 
 endpoint_entry read_endpoint(wire::Endpoint::Reader from)
@@ -93,6 +94,7 @@
     decoded.slots = from.getSlots();
     decoded.started = from.getStarted();
     decoded.leaving = from.getLeaving();
+    decoded.cold = milliseconds(from.getColdMs());
     return decoded;
 }
 
@@ -264,6 +266,10 @@
     heartbeat.state_age = read_age(root.getStateAge());
     heartbeat.store_failing = root.getStoreFailing();
     heartbeat.store_era = root.getStoreEra();
+    heartbeat.evacuations = {
+        root.getEvacuationsEra(), root.getEvacuationsRevision(), {}};
+    for (const auto each : root.getEvacuatedZones())
+        heartbeat.evacuations.zones.insert(each);
     return heartbeat;
 }
 
@@ -292,6 +298,13 @@
     root.setStateAge(write_age(heartbeat.state_age));
     root.setStoreFailing(heartbeat.store_failing);
     root.setStoreEra(heartbeat.store_era);
+    const auto& evacuations = heartbeat.evacuations;
+    root.setEvacuationsEra(evacuations.era);
+    root.setEvacuationsRevision(evacuations.revision);
+    auto zones = root.initEvacuatedZones(size_of(evacuations.zones));
+    unsigned i = 0;
+    for (const auto& each : evacuations.zones)
+        zones.set(i++, each);
 }
 
 capnp::Data::Reader data_of(const std::string& bytes)
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbgrade/detail/escrow/account_change.hpp>  // account_change
 #include <rhubarbgrade/detail/escrow/witness.hpp>         // witness_message
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>   // endpoint_entry
+#include <rhubarbgrade/detail/fleet/evacuations.hpp>      // evacuation_list
 #include <rhubarbgrade/detail/fleet/move_order.hpp>       // move_order
 #include <rhubarbgrade/detail/moves/evidence.hpp>         // move_evidence_t
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_suspects_t
@@ -91,6 +92,7 @@
     std::optional<milliseconds> state_age;
     bool store_failing = false;  ///< the store doesn't answer the sender
     std::uint64_t store_era = 0; ///< the latest that the sender knows
+    evacuation_list evacuations; ///< that the sender knows of
 };
 
 /// @brief A change of the list of endpoints, as one host tells others.
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -3,52 +3,52 @@
 namespace rhubarbgrade
 {
 
-admission admit(const admission_state& state)
+admission_result admit(const admission_state& state)
 {
     if (state.tried)
-        return admission::already_tried;
+        return admission_result::already_tried;
     if (!state.version_allowed)
-        return admission::other_version;
+        return admission_result::other_version;
     if (state.evacuated)
-        return admission::evacuated;
+        return admission_result::evacuated;
     if (!state.cold_share_left)
-        return admission::cold;
+        return admission_result::cold;
     if (!state.limit_share_left)
-        return admission::request_limit;
+        return admission_result::request_limit;
     if (!state.brittle_share_left)
-        return admission::brittle;
+        return admission_result::brittle;
     if (state.ejected)
-        return admission::ejected;
+        return admission_result::ejected;
     if (state.saturated)
-        return admission::saturated;
+        return admission_result::saturated;
     if (state.in_flight >= state.limit)
-        return admission::full;
-    return admission::admitted;
+        return admission_result::full;
+    return admission_result::admitted;
 }
 
-std::string_view to_string(admission reason)
+std::string_view to_string(admission_result reason)
 {
     switch (reason)
     {
-    case admission::admitted:
+    case admission_result::admitted:
         return "admitted";
-    case admission::already_tried:
+    case admission_result::already_tried:
         return "already_tried";
-    case admission::other_version:
+    case admission_result::other_version:
         return "other_version";
-    case admission::evacuated:
+    case admission_result::evacuated:
         return "evacuated";
-    case admission::cold:
+    case admission_result::cold:
         return "cold";
-    case admission::request_limit:
+    case admission_result::request_limit:
         return "request_limit";
-    case admission::brittle:
+    case admission_result::brittle:
         return "brittle";
-    case admission::ejected:
+    case admission_result::ejected:
         return "ejected";
-    case admission::saturated:
+    case admission_result::saturated:
         return "saturated";
-    case admission::full:
+    case admission_result::full:
         return "full";
     }
     return "unknown";
--- a/src/routing/request_limit.cpp
+++ b/src/routing/request_limit.cpp
@@ -60,7 +60,9 @@
                              std::size_t all_hosts)
 {
     const auto live = static_cast<double>(live_hosts.size());
-    const auto holders = std::clamp(std::floor(per_s), 1.0, live);
+    const auto reachable = std::min(
+        1.0, live / static_cast<double>(std::max<std::size_t>(1, all_hosts)));
+    const auto holders = std::clamp(std::floor(per_s * reachable), 1.0, live);
     const auto own = hash64(self, process);
     const auto before = std::count_if(live_hosts.begin(), live_hosts.end(),
                                       [&](const auto& each)
@@ -69,8 +71,6 @@
                                       });
     if (static_cast<double>(before) >= holders)
         return {};
-    const auto reachable = std::min(
-        1.0, live / static_cast<double>(std::max<std::size_t>(1, all_hosts)));
     return {std::max(min_per_s, used_part * per_s * reachable) / holders,
             std::max(1.0, burst_s * per_s * reachable / holders)};
 }
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -147,14 +147,15 @@
     }
 
     /// Starts an endpoint and lists it as ready.
-    void start_replica(const std::string& id, const std::string& service)
+    void start_replica(const std::string& id, const std::string& service,
+                       const std::string& zone = "z1")
     {
         m_replicas[id] = std::make_unique<process>(
             std::vector<std::string>{build_folder() + "/tests/standin_replica",
                                      "--id=" + id,
                                      "--record=" + event_file().string()},
             log_path(id));
-        list_replica(id, service, "ready");
+        list_replica(id, service, "ready", "v1", 8, zone);
     }
 
     /// Starts an endpoint whose responses never end and lists it as ready.
@@ -205,14 +206,15 @@
     /// Sets the state of an endpoint in the store.
     void list_replica(const std::string& id, const std::string& service,
                       const std::string& state,
-                      const std::string& version = "v1", int slots = 8) const
+                      const std::string& version = "v1", int slots = 8,
+                      const std::string& zone = "z1") const
     {
         upsert_object(
             "servers", id,
             {{"service", service},
              {"address",
               "127.0.0.1:" + std::to_string(m_replicas.at(id)->port())},
-             {"zone", "z1"},
+             {"zone", zone},
              {"version", version},
              {"slots", slots},
              {"state", state}});
@@ -309,6 +311,19 @@
             }));
     }
 
+    int store_port() const
+    {
+        return m_store->port();
+    }
+
+    void remove_object(const std::string& kind, const std::string& name) const
+    {
+        const auto answer =
+            store_client().Delete("/api/objects/" + kind + "/" + name);
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
+    }
+
     /// Starts a host whose store is another process; it may never be ready.
     void start_host_beside(const std::string& name, int store_port)
     {
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -4,12 +4,15 @@
 //                       path contains "/stream/", else with the run's number
 //   PUT  /fault         (tests) {events, gap_ms, delay_ms, break_after, shed,
 //                       status, resume_status, lose_answer, limit, slots,
-//                       brittle}
+//                       brittle, cold_per_s}
 //
 // With "brittle" it names that figure in all answers. From 3 s later on it
 // takes only "slots" requests at a time, and ends when it turns more than that
 // figure away in a second; the end is logged as the event "fall".
 //
+// With "cold_per_s" it ends when it gets more requests in a second than half
+// more than that figure and five; the end is logged as the event "fall", too.
+//
 // Each run is logged with its body, headers and the time of the monotonic
 // clock, and so is a stream whose caller has left, as the event "left".
 
@@ -52,6 +55,7 @@
     std::string limit;        ///< named in responses; empty: none
     int slots = 0;            ///< requests at a time when it is brittle
     std::string brittle;      ///< named in responses; empty: none
+    int cold_per_s = 0;       ///< requests that it survives; 0: all
 };
 
 long long now_ms()
@@ -99,7 +103,8 @@
                     requested.value("lose_answer", false),
                     requested.value("limit", ""),
                     requested.value("slots", 0),
-                    requested.value("brittle", "")};
+                    requested.value("brittle", ""),
+                    requested.value("cold_per_s", 0)};
         m_brittle_since = now_ms();
     }
 
@@ -122,6 +127,7 @@
         }
         if (!active_faults.brittle.empty())
             response.set_header("Server-Brittle", active_faults.brittle);
+        count_while_cold(active_faults);
         const running_request running(m_running);
         if (has_no_room(active_faults))
         {
@@ -203,16 +209,34 @@
             m_turned_away.pop_front();
         if (static_cast<int>(m_turned_away.size()) >
             std::stoi(active_faults.brittle))
-        {
-            m_log.append({{"event", "fall"},
-                          {"replica", FLAGS_id},
-                          {"path", "fall"},
-                          {"at_ms", now}});
-            std::_Exit(1);
-        }
+            fall();
         return true;
     }
 
+    void count_while_cold(const faults& active_faults)
+    {
+        constexpr long long second_ms = 1000;
+        if (active_faults.cold_per_s == 0)
+            return;
+        const std::lock_guard lock(m_mutex);
+        const auto now = now_ms();
+        m_while_cold.push_back(now);
+        while (now - m_while_cold.front() >= second_ms)
+            m_while_cold.pop_front();
+        if (2 * m_while_cold.size() >
+            static_cast<std::size_t>(3 * active_faults.cold_per_s + 10))
+            fall();
+    }
+
+    [[noreturn]] void fall()
+    {
+        m_log.append({{"event", "fall"},
+                      {"replica", FLAGS_id},
+                      {"path", "fall"},
+                      {"at_ms", now_ms()}});
+        std::_Exit(1);
+    }
+
     void stream(const httplib::Request& request, httplib::Response& response,
                 const faults& active_faults)
     {
@@ -261,6 +285,7 @@
     std::atomic<int> m_running{0};
     long long m_brittle_since = 0;
     std::deque<long long> m_turned_away; ///< times
+    std::deque<long long> m_while_cold;  ///< times of requests
     httplib::Server m_server;
 };
 
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -53,6 +53,11 @@
     CHECK(good.settings.relay == socket_address{"10.1.0.4", 7341});
     CHECK(good.settings.bounds.drain == milliseconds(2500));
     CHECK(good.settings.bounds.grace == milliseconds(9000));
+    CHECK_FALSE(good.settings.bounds.evacuate);
+    const auto bounded = platform::decode_settings(std::string(good_settings) +
+                                                   "\nevacuateMs = 4000\n");
+    CHECK(bounded.faults.empty());
+    CHECK(bounded.settings.bounds.evacuate == milliseconds(4000));
     const auto bad = platform::decode_settings(
         "zone = 3\n[listen]\nfront = \"x:99999\"\n[bounds]\ngraceS = \"a\"\n");
     CHECK(bad.faults.size() >= 5);
@@ -67,7 +72,8 @@
           "trafficSplit":[{"service":"s","weight":90},
                           {"service":"t","weight":10}],
           "maxAttempts":2,"resumable":true}],
-        "services":[{"name":"s","engine":{"slots":8,"stride":4}},
+        "services":[{"name":"s","coldStartS":2.5,"coldPerS":15.0,
+                     "engine":{"slots":8,"stride":4}},
                     {"name":"t"}],
         "tenants":[{"name":"c","apiKeys":["k"],"prepaid":5}]})");
     REQUIRE(decoded);
@@ -78,6 +84,9 @@
     CHECK(route->services[1].weight == 10);
     CHECK(route->resumable);
     CHECK(decoded->services.at("s").engine->tokens_per_event == 4);
+    CHECK(decoded->services.at("s").cold_time == milliseconds(2500));
+    CHECK(decoded->services.at("s").cold_per_s == 15);
+    CHECK(decoded->services.at("t").cold_per_s == 0);
     REQUIRE(find_customer(*decoded, "k") != nullptr);
     CHECK(find_customer(*decoded, "k")->prepaid == token_count_t{5});
     CHECK(find_customer(*decoded, "x") == nullptr);
@@ -92,6 +101,14 @@
     REQUIRE(decoded);
     CHECK(decoded->leaving);
     CHECK(decoded->started == 9);
+    CHECK(decoded->cold == milliseconds(0));
+    const std::string cold = R"({"service":"s","address":"10.0.0.1:80",
+        "zone":"z","version":"v1","slots":4,"state":"ready",
+        "coldRemainingMs":)";
+    CHECK(platform::decode_endpoint(stored_object_of(cold + "1200}"))->cold ==
+          milliseconds(1200));
+    for (const auto* bad : {"-1}", "null}", "\"1\"}", "1e300}"})
+        CHECK_FALSE(platform::decode_endpoint(stored_object_of(cold + bad)));
     for (const auto* bad :
          {"", "[]", "{}", R"({"service":"s","address":"x","zone":"z",
             "version":"v1","slots":4,"state":"ready"})",
@@ -115,6 +132,33 @@
     CHECK_FALSE(platform::decode_move(object));
 }
 
+TEST_CASE("an evacuation names its zone, whatever its spec has", "[adapter]")
+{
+    for (const auto* spec : {"", "{}", "null", R"({"since":1})"})
+    {
+        auto object = stored_object_of(spec);
+        object.name = "z1";
+        CHECK(platform::decode_evacuation(object) == "z1");
+    }
+}
+
+TEST_CASE("an entry that is no evacuation is rejected", "[adapter]")
+{
+    for (const auto& spec : {std::string("[]"), std::string("\xff{"),
+                             std::string("{"), std::string(100000, '['),
+                             std::string("{}") + std::string(70000, ' ')})
+    {
+        auto object = stored_object_of(spec);
+        object.name = "z1";
+        CHECK_FALSE(platform::decode_evacuation(object));
+    }
+    auto object = stored_object_of("{}");
+    object.name = std::string(300, 'z');
+    CHECK_FALSE(platform::decode_evacuation(object));
+    object.name.clear();
+    CHECK_FALSE(platform::decode_evacuation(object));
+}
+
 TEST_CASE("hop-by-hop and internal headers are dropped, others are forwarded",
           "[adapter]")
 {
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -10,9 +10,9 @@
     admission_state state;
     state.limit = 2;
     state.in_flight = 1;
-    CHECK(admit(state) == admission::admitted);
+    CHECK(admit(state) == admission_result::admitted);
     state.in_flight = 2;
-    CHECK(admit(state) == admission::full);
+    CHECK(admit(state) == admission_result::full);
 }
 
 TEST_CASE("the reason for a rejection doesn't depend on how full it is",
@@ -22,8 +22,8 @@
     state.in_flight = state.limit;
     state.evacuated = true;
     state.cold_share_left = false;
-    CHECK(admit(state) == admission::evacuated);
+    CHECK(admit(state) == admission_result::evacuated);
     state.evacuated = false;
-    CHECK(admit(state) == admission::cold);
+    CHECK(admit(state) == admission_result::cold);
     CHECK(to_string(admit(state)) == "cold");
 }
--- a/tests/unit/unit-upgrade.cpp
+++ b/tests/unit/unit-upgrade.cpp
@@ -68,6 +68,8 @@
     // Its sender knows no hubs and sends no reports.
     CHECK(heartbeat.started == 0);
     CHECK(heartbeat.address.empty());
+    // Nor evacuations.
+    CHECK(heartbeat.evacuations.revision == 0);
 }
 
 TEST_CASE("other messages of the version before are read", "[upgrade]")
@@ -113,6 +115,10 @@
     heartbeat.address = "10.0.0.1:7340";
     heartbeat.zone = "z";
     heartbeat.asks_hub = true;
+    heartbeat.evacuations = {2, 70, {"z1", "z2"}};
+    CHECK(
+        std::get<peer_heartbeat>(*decode_datagram(encode_heartbeat(heartbeat)))
+            .evacuations == heartbeat.evacuations);
     const auto words = words_of(encode_heartbeat(heartbeat));
     capnp::FlatArrayMessageReader reader(words);
     const auto root = reader.getRoot<earlier::Datagram>();
