Evacuations are read only where the settings name their bound

Cause: every fleet would watch one more kind of object, and wait up to 2 s for it at a start, also where operators have no evacuations; calls to the store are billed.

Change: without evacuateMs in the settings no host watches evacuations, waits for them, or doubts news of a host that tells none.

Calls not measured.

--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -300,11 +300,12 @@
                          std::string(platform::move_kind),
                          make_move_listener()),
           "watch of the moves");
-    spawn(m_loop,
-          list_and_watch(m_store, m_reader.gate(),
-                         std::string(platform::evacuation_kind),
-                         make_evacuation_listener()),
-          "watch of the evacuations");
+    if (uses_evacuations())
+        spawn(m_loop,
+              list_and_watch(m_store, m_reader.gate(),
+                             std::string(platform::evacuation_kind),
+                             make_evacuation_listener()),
+              "watch of the evacuations");
     spawn(m_loop, m_reader.probe(), "signs of life of the store");
     spawn(m_loop, m_escrow.run(), "escrow writer");
     spawn(m_loop, m_witnesses.run(), "witness confirmations");
@@ -522,10 +523,20 @@
         m_peers.hasten_heartbeat();
 }
 
+bool node_control::uses_evacuations() const
+{
+    return m_settings.bounds.evacuate.has_value();
+}
+
+bool node_control::knows_evacuations(const peer_heartbeat& heartbeat) const
+{
+    return !uses_evacuations() || heartbeat.evacuations.revision != 0;
+}
+
 bool node_control::may_serve(time_point_t now) const
 {
     return m_endpoints_known &&
-           (m_evacuations.list.revision != 0 ||
+           (!uses_evacuations() || m_evacuations.list.revision != 0 ||
             now - m_endpoints_known_at >= max_evacuation_wait);
 }
 
@@ -650,7 +661,7 @@
 {
     // Of a sender that doesn't know the evacuations, this host can't learn
     // them.
-    if (news.sender.state_age && news.sender.evacuations.revision != 0)
+    if (news.sender.state_age && knows_evacuations(news.sender))
         m_confirmed_at = std::max(m_confirmed_at, now - *news.sender.state_age);
 }
 
@@ -661,7 +672,7 @@
         return;
     // While this host reads by itself, it only notes that it need not.
     if (news.sender.host == m_reader.chosen_host() && news.sender.fresh &&
-        news.sender.state_age && news.sender.evacuations.revision != 0)
+        news.sender.state_age && knows_evacuations(news.sender))
         m_told_at = std::max(m_told_at, now - *news.sender.state_age);
     if (reads_store(now))
         return;
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -121,6 +121,11 @@
     void apply_evacuations(const evacuation_list& list);
     /// @param[in] before  the zones that were evacuated
     void on_evacuations_changed(const std::set<std::string>& before);
+    /// Whether the settings name a bound for evacuations. Without it they
+    /// aren't read: a watch costs calls to the store.
+    bool uses_evacuations() const;
+    /// Whether this host can learn the evacuations that it needs from a host.
+    bool knows_evacuations(const peer_heartbeat& heartbeat) const;
     /// Whether requests may be sent: the evacuations are known, or nobody has
     /// told them for a while.
     bool may_serve(time_point_t now) const;
