Tests: an outage of the store, over five runs

Cause: the share that is refused in the modelled outage was that of one run, which differs from run to run by more than the change of a decision makes.

Change: the check is on the sum of five runs each, with a third load; the bound of 0.1 stays.

--- a/tests/unit/unit-token-placement.cpp
+++ b/tests/unit/unit-token-placement.cpp
@@ -399,16 +399,22 @@
 TEST_CASE("an outage of the store is bridged while the balance is large",
           "[placement]")
 {
-    demand load;
-    load.hosts = GENERATE(9U, 66U);
+    auto load = GENERATE(demand{9, 28}, demand{66, 28}, demand{66, 200});
     load.budget_s = 60;
-    fleet_model fleet(load, 1);
-    const auto before = fleet.play(10);
-    fleet.set_store(false);
+    constexpr double begins = 10;
     constexpr double outage_s = 8;
-    const auto after = fleet.play(10 + outage_s);
-    const auto refused = static_cast<double>(after.refused - before.refused) /
-                         (after.with_room - before.with_room);
-    INFO(load.hosts << " hosts: refused " << refused);
-    CHECK(refused < 0.1);
+    outcome sum;
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        fleet_model fleet(load, seed);
+        const auto before = fleet.play(begins);
+        fleet.set_store(false);
+        const auto after = fleet.play(begins + outage_s);
+        sum.refused += after.refused - before.refused;
+        sum.with_room += after.with_room - before.with_room;
+    }
+    INFO(load.hosts << " hosts, " << load.requests_per_s
+                    << " requests/s: refused " << sum.refused_share());
+    // Callers of a customer with few requests change hosts within the outage.
+    CHECK(sum.refused_share() < 0.1);
 }
