Tests: includes of the model of token placement

Cause: the test used names of <cstdint> and <utility> without including them.

Change: both are included, <map> is not.

--- a/tests/unit/unit-token-placement.cpp
+++ b/tests/unit/unit-token-placement.cpp
@@ -6,11 +6,12 @@
 #include <algorithm> // max, min
 #include <cmath>     // exp
 #include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
 #include <deque>     // deque
 #include <limits>    // numeric_limits
-#include <map>       // map
 #include <random>    // mt19937
 #include <string>    // string, to_string
+#include <utility>   // move
 #include <vector>    // vector
 
 #include <catch2/catch.hpp>
@@ -39,7 +40,7 @@
 {
     std::size_t hosts = 9;
     double requests_per_s = 28;
-    double mean_tokens = 4800; ///< bound of a request; a tenth is six times so
+    double mean_tokens = 4800; ///< of the bounds of requests
     double budget_s = 30;      ///< seconds of demand that are prepaid
 };
 
