Gateway: a budget for what all callers make a host hold

Cause: each request and buffer had a limit, their sum and the connections had none. 160 bodies of 256 KB that stop short of their end took a host of 32 MB to 71.9 thousand kB; 300 connections took all its descriptors, and the ports tried to accept again at once. Change: caller_budget decides without I/O what each connection may hold, and who gives up for others: the largest incomplete request, the idlest connection. A session takes from it before it allocates: connection, input buffer, head, body (by doubling as bytes arrive, not as announced), request being served, part of an answer. A refusal is 503 with Retry-After before the request is passed on, and drops the body first. A quarter is for callers that hold little. Ports pause 20 ms when there is no descriptor. At most 16 connections for readiness checks, and one in 16 descriptors for state requests of other hosts. event=traffic has no_room, connections, held_kb and shed.

--- a/src/gateway/answer_writer.cpp
+++ b/src/gateway/answer_writer.cpp
@@ -3,6 +3,7 @@
 #include <charconv>    // from_chars
 #include <string>      // string
 #include <string_view> // string_view
+#include <tuple>       // ignore, tie
 #include <utility>     // move
 
 #include <boost/asio/as_tuple.hpp>           // as_tuple
@@ -16,6 +17,8 @@
 
 #include <platform/caller_codec.hpp> // copy_response_headers
 
+#include "caller_session.hpp" // caller_session
+
 namespace rhubarbgrade
 {
 
@@ -53,16 +56,19 @@
 
 } // namespace
 
-response_writer::response_writer(asio::ip::tcp::socket& socket, bool chunked)
-    : m_socket(socket), m_chunked(chunked)
+response_writer::response_writer(caller_session& session, bool chunked)
+    : m_session(session), m_socket(session.socket()), m_chunked(chunked)
 {
 }
 
 asio::awaitable<bool> response_writer::write_complete(caller_response_t message)
 {
     m_begun = true;
+    if (!co_await m_session.begin_write(message.body().size()))
+        co_return false;
     const auto [fault, count] =
         co_await http::async_write(m_socket, message, as_values);
+    m_session.end_write();
     co_return !fault;
 }
 
@@ -84,8 +90,11 @@
     head.chunked(m_chunked);
     head.keep_alive(keep_alive && m_chunked);
     http::response_serializer<http::empty_body> serializer(head);
+    if (!co_await m_session.begin_write(0))
+        co_return false;
     const auto [fault, count] =
         co_await http::async_write_header(m_socket, serializer, as_values);
+    m_session.end_write();
     co_return !fault;
 }
 
@@ -98,14 +107,19 @@
 asio::awaitable<bool> response_writer::write_part(std::string_view bytes)
 {
     const auto buffer = asio::buffer(bytes.data(), bytes.size());
+    if (!co_await m_session.begin_write(bytes.size()))
+        co_return false;
+    boost::system::error_code fault;
     if (m_close_delimited)
-    {
-        const auto [fault, count] =
+        std::tie(fault, std::ignore) =
             co_await asio::async_write(m_socket, buffer, as_values);
-        co_return !fault;
+    else
+    {
+        const auto chunk = http::make_chunk(buffer);
+        std::tie(fault, std::ignore) =
+            co_await asio::async_write(m_socket, chunk, as_values);
     }
-    const auto [fault, count] = co_await asio::async_write(
-        m_socket, http::make_chunk(buffer), as_values);
+    m_session.end_write();
     co_return !fault;
 }
 
--- a/src/gateway/answer_writer.hpp
+++ b/src/gateway/answer_writer.hpp
@@ -16,6 +16,8 @@
 namespace rhubarbgrade
 {
 
+class caller_session;
+
 /// @brief Writes one response to a caller's connection.
 ///
 /// A response is written either complete, with a Content-Length, or as its body
@@ -23,12 +25,12 @@
 /// which is reset if the response breaks off. Of a server-sent event stream
 /// only complete events are written, so that another endpoint can resume the
 /// stream after any chunk. The functions that write return false if the
-/// connection has failed.
+/// connection has failed, or if there is no memory for the part.
 class response_writer
 {
 public:
     /// @param[in] chunked  the caller understands chunks
-    response_writer(boost::asio::ip::tcp::socket& socket, bool chunked);
+    response_writer(caller_session& session, bool chunked);
 
     /// @brief Writes a complete response, header and body.
     boost::asio::awaitable<bool> write_complete(caller_response_t message);
@@ -104,6 +106,7 @@
     boost::asio::awaitable<bool> write_part(std::string_view bytes);
     bool append_event(std::string_view event, std::string& complete_events);
 
+    caller_session& m_session;
     boost::asio::ip::tcp::socket& m_socket;
     sse_splitter m_splitter;
     bool m_chunked;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -157,7 +157,7 @@
       m_deadline(m_started),
       m_latest_end(m_started),
       m_deadline_timer(context.executor),
-      m_writer(m_session->socket(), m_request.version() >= http_1_1),
+      m_writer(*m_session, m_request.version() >= http_1_1),
       m_version_draw(draw_uniform(context.random))
 {
 }
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,16 +1,13 @@
 #include "caller_session.hpp"
 
-#include <algorithm> // max
-#include <cstdint>   // uint64_t
+#include <algorithm> // max, min
 #include <memory>    // make_shared
 #include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
 #include <boost/beast/http/error.hpp>   // error
-#include <boost/beast/http/parser.hpp>  // request_parser
-#include <boost/beast/http/read.hpp>    // async_read, async_read_header
-#include <boost/beast/http/write.hpp>   // async_write
+#include <boost/beast/http/write.hpp>   // async_write, write
 
 #include "caller_exchange.hpp" // caller_exchange
 #include "own_answer.hpp"      // make_local_response
@@ -21,6 +18,7 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using boost::system::error_code;
 
 namespace
 {
@@ -38,11 +36,38 @@
 /// response.
 constexpr milliseconds linger_time{500};
 
-unsigned status_of(const boost::system::error_code& fault)
+/// Memory of a connection without a request, in bytes: its state, the tasks
+/// that serve it, and a buffer for one read.
+constexpr std::size_t connection_bytes = 6144;
+
+/// Memory of a request that is being served besides its head and body, in
+/// bytes: its state, the connection to an endpoint, and what is read from it.
+constexpr std::size_t serving_bytes = 8192;
+
+/// Memory of a header field besides its text, in bytes.
+constexpr std::size_t field_bytes = 96;
+
+/// Interval at which is checked whether others have given up enough.
+constexpr milliseconds room_check_interval{1};
+
+/// Retry-After of a request for which there was no room.
+constexpr milliseconds busy_retry_after{1000};
+
+constexpr unsigned unavailable = 503;
+
+/// There is no room for what a caller sends.
+error_code out_of_room()
+{
+    return make_error_code(boost::system::errc::not_enough_memory);
+}
+
+unsigned status_of(const error_code& fault)
 {
     constexpr unsigned bad_request = 400;
     constexpr unsigned body_too_large = 413;
     constexpr unsigned head_too_large = 431;
+    if (fault == out_of_room())
+        return unavailable;
     if (fault == http::error::body_limit)
         return body_too_large;
     if (fault == http::error::header_limit ||
@@ -53,7 +78,7 @@
 
 /// Whether the caller sent a malformed or oversized request, in contrast to a
 /// failure of the connection.
-bool is_malformed_request(const boost::system::error_code& fault)
+bool is_malformed_request(const error_code& fault)
 {
     return fault.category() ==
                make_error_code(http::error::bad_value).category() &&
@@ -63,7 +88,8 @@
 
 /// Whether an endpoint could delimit or route the request in another way than
 /// this proxy, which would allow request smuggling.
-bool has_ambiguous_framing(const caller_request_t& request, bool chunked)
+template <typename Request>
+bool has_ambiguous_framing(const Request& request, bool chunked)
 {
     if (request.count(http::field::transfer_encoding) != 0 && !chunked)
         return true;
@@ -73,6 +99,30 @@
     return target.empty() || target.front() != '/';
 }
 
+/// Memory that an input buffer takes in addition to one read.
+std::size_t excess(std::size_t capacity)
+{
+    return std::max(capacity, read_size) - read_size;
+}
+
+/// Memory of an input buffer after one more read.
+std::size_t capacity_after_read(const input_buffer& buffer)
+{
+    const auto needed = buffer.size() + read_size;
+    if (needed <= buffer.capacity())
+        return buffer.capacity();
+    return std::min(buffer.max_size(), std::max(2 * buffer.size(), needed));
+}
+
+/// Memory of the parsed head of a request.
+std::size_t head_size(const http::fields& fields)
+{
+    std::size_t size = 0;
+    for (const auto& each : fields)
+        size += field_bytes + each.name_string().size() + each.value().size();
+    return size;
+}
+
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket,
@@ -80,14 +130,24 @@
     : m_socket(std::move(socket)),
       m_context(context),
       m_buffer(min_input_size),
+      m_room_timer(context.executor),
       m_read_timer(context.executor),
       m_input_timer(context.executor)
 {
+    m_share.on_shed = [this]
+    {
+        give_up();
+    };
+}
+
+caller_session::~caller_session()
+{
+    m_context.callers.remove(m_share);
 }
 
 void caller_session::abort()
 {
-    boost::system::error_code ignored; // the descriptor is released anyway
+    error_code ignored; // the descriptor is released anyway
     m_socket.close(ignored);
 }
 
@@ -104,10 +164,90 @@
         std::exchange(m_disconnect_handler, nullptr)();
 }
 
+void caller_session::enter(caller_stage stage)
+{
+    m_share.stage = stage;
+    m_share.last_progress = time_point_t::clock::now();
+}
+
+void caller_session::give_up()
+{
+    m_room_timer.cancel();
+    if (m_share.stage == caller_stage::reading)
+    {
+        error_code ignored; // it is refused as soon as the read has ended
+        m_socket.cancel(ignored);
+        return;
+    }
+    m_read_timer.cancel();
+    abort();
+}
+
+caller_amount caller_session::amount(std::size_t extra_bytes,
+                                     std::size_t descriptors) const
+{
+    return {connection_bytes + m_request_bytes + extra_bytes, descriptors};
+}
+
+asio::awaitable<bool> caller_session::hold(std::size_t extra_bytes,
+                                           std::size_t descriptors)
+{
+    const auto wanted = amount(extra_bytes, descriptors);
+    for (;;)
+    {
+        const auto result =
+            m_context.callers.hold(m_share, wanted, time_point_t::clock::now());
+        if (result != hold_result::wait)
+            co_return result == hold_result::held;
+        m_room_timer.expires_after(room_check_interval);
+        co_await m_room_timer.async_wait(as_values);
+    }
+}
+
+asio::awaitable<bool> caller_session::admit()
+{
+    enter(caller_stage::silent);
+    co_return co_await hold(0, 1);
+}
+
+void caller_session::release_request()
+{
+    m_request_bytes = 0;
+    m_share.sends_ahead = false;
+    if (m_buffer.capacity() > min_input_size)
+        m_buffer.shrink_to_fit();
+    // Less than before is always granted.
+    m_context.callers.hold(m_share, amount(excess(m_buffer.capacity()), 1),
+                           time_point_t::clock::now());
+}
+
+asio::awaitable<bool> caller_session::begin_write(std::size_t bytes)
+{
+    enter(caller_stage::answering);
+    if (bytes <= read_size)
+        co_return true; // a part of what each request has
+    co_return co_await hold(serving_bytes + excess(m_buffer.capacity()) + bytes,
+                            2);
+}
+
+void caller_session::end_write()
+{
+    enter(caller_stage::serving);
+    m_context.callers.hold(
+        m_share, amount(serving_bytes + excess(m_buffer.capacity()), 2),
+        time_point_t::clock::now());
+}
+
 void caller_session::start_input_read()
 {
     if (m_read_pending || m_disconnected || m_buffer.size() >= max_read_ahead)
         return;
+    const auto capacity = capacity_after_read(m_buffer);
+    auto wanted = m_share.held;
+    wanted.bytes += excess(capacity) - excess(m_buffer.capacity());
+    if (m_context.callers.hold(m_share, wanted, time_point_t::clock::now()) !=
+        hold_result::held)
+        return;
     m_read_pending = true;
     m_socket.async_read_some(
         m_buffer.prepare(read_size),
@@ -149,64 +289,168 @@
             if (fault || !self)
                 return;
             self->m_read_timed_out = true;
-            boost::system::error_code ignored; // a closed socket reads nothing
+            error_code ignored; // a closed socket reads nothing
             self->m_socket.cancel(ignored);
         });
 }
 
-asio::awaitable<bool> caller_session::read_request(caller_request_t& request)
+asio::awaitable<error_code> caller_session::read_some()
+{
+    if (m_buffer.size() >= m_buffer.max_size())
+        co_return http::error::buffer_overflow;
+    // A read that had just ended when it was told to give up was not cancelled.
+    if (!co_await hold(excess(capacity_after_read(m_buffer)), 1) ||
+        m_share.shed)
+        co_return out_of_room();
+    const auto room = m_buffer.prepare(
+        std::min(read_size, m_buffer.max_size() - m_buffer.size()));
+    const auto [fault, count] =
+        co_await m_socket.async_read_some(room, as_values);
+    m_buffer.commit(count);
+    if (count != 0)
+        m_share.last_progress = time_point_t::clock::now();
+    co_return fault;
+}
+
+error_code caller_session::parse(caller_parser_t& parser)
+{
+    error_code fault;
+    std::size_t used = 1;
+    while (!fault && used != 0 && m_buffer.size() != 0 && !parser.is_done())
+    {
+        used = parser.put(m_buffer.data(), fault);
+        m_buffer.consume(used);
+        if (!parser.eager() && parser.is_header_done())
+            break;
+    }
+    return fault == http::error::need_more ? error_code() : fault;
+}
+
+asio::awaitable<error_code> caller_session::read_head(caller_parser_t& parser)
+{
+    for (;;)
+    {
+        if (const auto fault = parse(parser))
+            co_return fault;
+        if (parser.is_header_done())
+            break;
+        if (const auto fault = co_await read_some())
+            co_return fault;
+    }
+    m_request_bytes = head_size(parser.get());
+    if (!co_await hold(excess(m_buffer.capacity()), 1))
+        co_return out_of_room();
+    co_return error_code();
+}
+
+asio::awaitable<error_code> caller_session::read_body(caller_parser_t& parser,
+                                                      std::uint64_t body_limit)
+{
+    auto& body = parser.get().body();
+    const auto head_bytes = m_request_bytes;
+    const std::size_t most =
+        std::min(body_limit, parser.content_length().value_or(body_limit));
+    parser.eager(true);
+    while (!parser.is_done())
+    {
+        const auto needed = std::min(most, body.size() + m_buffer.size());
+        if (needed > body.capacity())
+        {
+            const auto capacity =
+                std::min(most, std::max(needed, 2 * body.capacity()));
+            m_request_bytes = head_bytes + capacity;
+            if (!co_await hold(excess(m_buffer.capacity()), 1))
+                co_return out_of_room();
+            body.reserve(capacity);
+        }
+        if (const auto fault = parse(parser))
+            co_return fault;
+        if (parser.is_done())
+            break;
+        if (const auto fault = co_await read_some())
+            co_return fault;
+    }
+    // Fields of a trailer section have come.
+    m_request_bytes = head_size(parser.get()) + body.capacity();
+    co_return error_code();
+}
+
+asio::awaitable<caller_session::read_outcome>
+caller_session::read_request(caller_request_t& request)
 {
     constexpr unsigned timed_out = 408;
     caller_limits limits;
     if (m_context.view->configuration)
         limits = m_context.view->configuration->limits;
-    http::request_parser<http::string_body> parser;
+    caller_parser_t parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     // It may hold more than a limit that has been lowered since.
     m_buffer.max_size(
         std::max(m_buffer.max_size(), read_size + limits.header_bytes));
     start_read_timer(limits.header_time);
-    auto [fault, count] =
-        co_await http::async_read_header(m_socket, m_buffer, parser, as_values);
+    auto fault = co_await read_head(parser);
     if (!fault)
     {
         // The idle time-out also limits the time for reading the body.
         start_read_timer(limits.idle_time);
         if (has_ambiguous_framing(parser.get(), parser.chunked()))
             fault = http::error::bad_value;
-        else if (!parser.is_done())
-        {
-            const auto [body_fault, body_count] = co_await http::async_read(
-                m_socket, m_buffer, parser, as_values);
-            fault = body_fault;
-        }
+        else
+            fault = co_await read_body(parser, limits.body_bytes);
     }
     m_read_timer.cancel();
+    read_outcome outcome;
     if (!fault)
     {
-        request = parser.release();
-        co_return true;
+        auto message = parser.release();
+        request = caller_request_t(std::move(message.base()),
+                                   std::move(message.body()));
+        outcome.complete = true;
+        co_return outcome;
     }
-    if (m_read_timed_out)
-        co_await refuse(timed_out);
-    else if (is_malformed_request(fault))
-        co_await refuse(status_of(fault));
-    co_return false;
+    if (m_share.shed)
+        fault = out_of_room();
+    if (fault == out_of_room())
+    {
+        ++m_context.counters.no_room;
+        if (parser.is_header_done())
+            outcome.id = platform::decode_call(parser.get()).id;
+    }
+    if (fault == out_of_room() || is_malformed_request(fault))
+        outcome.refusal = status_of(fault);
+    else if (m_read_timed_out)
+        outcome.refusal = timed_out;
+    co_return outcome;
 }
 
-asio::awaitable<void> caller_session::refuse(unsigned status)
+asio::awaitable<void> caller_session::refuse(unsigned status, std::string id)
 {
     auto response =
-        make_local_response({status, "the request can't be read", {}});
+        status == unavailable
+            ? make_local_response(
+                  {status, "no room for the request", busy_retry_after})
+            : make_local_response({status, "the request can't be read", {}});
+    platform::set_response_id(response, id);
     response.keep_alive(false);
+    if (m_share.shed)
+    {
+        // Others wait for what this connection holds.
+        error_code ignored;
+        m_socket.non_blocking(true, ignored);
+        http::write(m_socket, response, ignored);
+        co_return;
+    }
+    enter(caller_stage::idle);
+    start_read_timer(linger_time);
     co_await http::async_write(m_socket, response, as_values);
     co_await close_gracefully();
 }
 
 asio::awaitable<void> caller_session::close_gracefully()
 {
-    boost::system::error_code ignored; // the peer may have disconnected
+    enter(caller_stage::idle);
+    error_code ignored; // the peer may have disconnected
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     start_read_timer(linger_time);
     while (!m_read_pending && !m_disconnected && !m_read_timed_out)
@@ -223,39 +467,63 @@
     abort();
 }
 
+asio::awaitable<bool> caller_session::read_and_serve()
+{
+    caller_request_t request;
+    enter(caller_stage::reading);
+    ++m_context.reading;
+    auto outcome = co_await read_request(request);
+    m_share.sends_ahead = m_buffer.size() != 0;
+    if (outcome.complete &&
+        !co_await hold(serving_bytes + excess(m_buffer.capacity()), 2))
+    {
+        ++m_context.counters.no_room;
+        outcome = {false, unavailable, platform::decode_call(request).id};
+        request = {};
+    }
+    if (!outcome.complete)
+    {
+        release_request();
+        if (outcome.refusal != 0)
+            co_await refuse(outcome.refusal, std::move(outcome.id));
+    }
+    --m_context.reading;
+    if (!outcome.complete)
+        co_return false;
+    enter(caller_stage::serving);
+    const bool persistent = request.keep_alive();
+    const auto current_exchange = std::make_shared<caller_exchange>(
+        shared_from_this(), std::move(request), m_context);
+    on_disconnect(
+        [current_exchange]
+        {
+            current_exchange->handle_disconnect();
+        });
+    start_input_read();
+    const bool complete = co_await current_exchange->run();
+    on_disconnect(nullptr);
+    if (complete && (!persistent || current_exchange->closes_connection()))
+    {
+        co_await close_gracefully();
+        co_return false;
+    }
+    co_return complete;
+}
+
 asio::awaitable<void> caller_session::run()
 {
     const auto self = shared_from_this();
     m_context.sessions.insert(this);
     while (co_await wait_for_input())
     {
-        caller_request_t request;
-        ++m_context.reading;
-        const bool was_read = co_await read_request(request);
-        --m_context.reading;
-        if (!was_read)
-            break;
-        const bool persistent = request.keep_alive();
-        const auto current_exchange = std::make_shared<caller_exchange>(
-            self, std::move(request), m_context);
-        on_disconnect(
-            [current_exchange]
-            {
-                current_exchange->handle_disconnect();
-            });
-        start_input_read();
-        const bool complete = co_await current_exchange->run();
-        on_disconnect(nullptr);
-        if (!complete)
+        if (!co_await read_and_serve())
             break;
-        if (!persistent || current_exchange->closes_connection())
-        {
-            co_await close_gracefully();
-            break;
-        }
+        release_request();
+        enter(caller_stage::idle);
     }
     m_context.sessions.erase(this);
     abort();
+    m_context.callers.remove(m_share);
 }
 
 } // namespace rhubarbgrade
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -1,37 +1,49 @@
 #pragma once
 
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // enable_shared_from_this
+#include <string>     // string
 
-#include <boost/asio/awaitable.hpp>         // awaitable
-#include <boost/asio/ip/tcp.hpp>            // tcp
-#include <boost/asio/steady_timer.hpp>      // steady_timer
-#include <boost/beast/http/message.hpp>     // request
-#include <boost/beast/http/string_body.hpp> // string_body
+#include <boost/asio/awaitable.hpp>    // awaitable
+#include <boost/asio/ip/tcp.hpp>       // tcp
+#include <boost/asio/steady_timer.hpp> // steady_timer
+#include <boost/beast/core/error.hpp>  // error_code
 
 #include <rhubarbgrade/detail/base/types.hpp> // milliseconds
 
 #include "../store/input_buffer.hpp" // input_buffer
+#include "caller_budget.hpp"         // caller_share
+#include "caller_request.hpp"        // caller_parser_t, caller_request_t
 
 namespace rhubarbgrade
 {
 
 struct traffic_context;
 
-using caller_request_t =
-    boost::beast::http::request<boost::beast::http::string_body>;
-
 /// @brief One connection of a caller.
 ///
 /// Reads and processes requests one after the other, and detects that the
-/// caller has disconnected while a request is being processed. Runs on the
-/// traffic thread.
+/// caller has disconnected while a request is being processed. All that the
+/// connection holds is taken from the budget of callers before it is allocated.
+/// Runs on the traffic thread.
 class caller_session : public std::enable_shared_from_this<caller_session>
 {
 public:
     caller_session(boost::asio::ip::tcp::socket socket,
                    traffic_context& context);
 
+    ~caller_session();
+
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
+
+    /// @brief Takes the connection's part of the budget of callers; waits if
+    ///        others have to be closed for it.
+    /// @return false if there is none; the connection must be closed then
+    boost::asio::awaitable<bool> admit();
+
     /// @brief Serves the connection until either side closes it.
     boost::asio::awaitable<void> run();
 
@@ -52,17 +64,63 @@
     /// @param[in] handler  may be empty
     void on_disconnect(std::function<void()> handler);
 
+    /// @brief Must be called before a part of an answer is written.
+    /// @param[in] bytes  that are kept until it is written
+    /// @return false if there is no memory for them; the answer ends there
+    boost::asio::awaitable<bool> begin_write(std::size_t bytes);
+
+    /// @brief Must be called after a part of an answer has been written.
+    void end_write();
+
 private:
+    struct read_outcome
+    {
+        bool complete = false;
+        unsigned refusal = 0; ///< status; 0 if the connection has failed
+        std::string id;       ///< of the refused request, if it is known
+    };
+
     boost::asio::awaitable<bool> wait_for_input();
-    boost::asio::awaitable<bool> read_request(caller_request_t& request);
-    boost::asio::awaitable<void> refuse(unsigned status);
+    /// Reads and serves one request.
+    /// @return whether another one may follow
+    boost::asio::awaitable<bool> read_and_serve();
+    boost::asio::awaitable<read_outcome>
+    read_request(caller_request_t& request);
+    /// Parses what is in the buffer, as far as it goes; of a parser that is
+    /// not eager the head only.
+    boost::beast::error_code parse(caller_parser_t& parser);
+    /// Reads until the head of a request is complete.
+    boost::asio::awaitable<boost::beast::error_code>
+    read_head(caller_parser_t& parser);
+    /// Reads until the request is complete.
+    boost::asio::awaitable<boost::beast::error_code>
+    read_body(caller_parser_t& parser, std::uint64_t body_limit);
+    /// Reads some bytes into the buffer.
+    boost::asio::awaitable<boost::beast::error_code> read_some();
+    /// Answers a request that has not run and closes the connection.
+    /// @param[in] id  of the request, if it is known
+    boost::asio::awaitable<void> refuse(unsigned status, std::string id);
+    /// Returns what a request has taken.
+    void release_request();
     boost::asio::awaitable<void> close_gracefully();
     void start_input_read();
     void start_read_timer(milliseconds limit);
+    /// Takes from the budget what the connection and its request hold besides
+    /// @a extra_bytes; waits if others have to give up something for it.
+    /// @return false if there is no room
+    boost::asio::awaitable<bool> hold(std::size_t extra_bytes,
+                                      std::size_t descriptors);
+    caller_amount amount(std::size_t extra_bytes,
+                         std::size_t descriptors) const;
+    void enter(caller_stage stage);
+    void give_up();
 
     boost::asio::ip::tcp::socket m_socket;
     traffic_context& m_context;
     input_buffer m_buffer;
+    caller_share m_share;
+    std::size_t m_request_bytes = 0; ///< of the request being read or served
+    boost::asio::steady_timer m_room_timer;  ///< waits for others to give up
     boost::asio::steady_timer m_read_timer;  ///< limits the time of reads
     boost::asio::steady_timer m_input_timer; ///< cancelled when input arrives
     std::function<void()> m_disconnect_handler;
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -15,6 +15,7 @@
 #include <rhubarbgrade/detail/routing/planned_stop.hpp> // planned_stop
 #include <rhubarbgrade/detail/routing/shared_retry.hpp> // retry_counts
 
+#include "caller_budget.hpp"      // caller_budget
 #include "crash_detector.hpp"     // crash_detector
 #include "endpoint_directory.hpp" // endpoint_directory
 #include "room_queue.hpp"         // endpoint_wait_queue
@@ -55,7 +56,8 @@
     std::uint64_t no_path = 0;     ///< this host reaches none, nor a relay
     std::uint64_t quarantined = 0; ///< has crashed endpoints
     std::uint64_t no_capacity =
-        0; ///< request limits used up, engines saturated
+        0;                     ///< request limits used up, engines saturated
+    std::uint64_t no_room = 0; ///< memory or descriptors for callers used up
 };
 
 /// @brief State shared by all sessions; used by the traffic thread only.
@@ -71,6 +73,7 @@
                     std::function<void()> on_reach)
         : executor(with_executor),
           bounds(with_settings.bounds),
+          callers(caller_limits_of(with_settings)),
           random(with_random),
           directory(with_executor, with_settings.zone, with_random,
                     std::move(on_limit), std::move(on_reach)),
@@ -83,6 +86,7 @@
 
     boost::asio::any_io_executor executor;
     node_bounds bounds; ///< current values, can change while running
+    caller_budget callers;
     random_source_t random;
     fleet_view_ptr_t view = std::make_shared<fleet_view>();
     endpoint_directory directory;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -1,6 +1,6 @@
 #include "traffic_loop.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // find, min
 #include <memory>    // make_shared
 #include <random>    // mt19937_64, random_device
 #include <string>    // string
@@ -39,6 +39,15 @@
 /// peer; each takes two.
 constexpr std::size_t relay_share = 16;
 
+/// Time after which is accepted again if there was no descriptor for a
+/// connection.
+constexpr milliseconds accept_retry_interval{20};
+
+/// Connections for readiness checks: the balancer has few. The one that was
+/// used last yields to a new one, and one without a request is closed.
+constexpr std::size_t max_readiness_connections = 16;
+constexpr milliseconds readiness_idle_time{10000};
+
 /// Interval of the reports of wallets and samples to control.
 constexpr milliseconds report_interval{250};
 
@@ -196,6 +205,12 @@
         m_control.relay_changed(port);
 }
 
+asio::awaitable<void> traffic_loop::pause_accepting()
+{
+    asio::steady_timer timer(m_loop, accept_retry_interval);
+    co_await timer.async_wait(as_values);
+}
+
 asio::awaitable<void> traffic_loop::accept_relayed()
 {
     while (m_relay_acceptor.is_open())
@@ -203,7 +218,10 @@
         auto [fault, socket] =
             co_await m_relay_acceptor.async_accept(as_values);
         if (fault)
+        {
+            co_await pause_accepting();
             continue;
+        }
         boost::system::error_code disconnected;
         const auto from = socket.remote_endpoint(disconnected);
         const auto& hosts = m_context.view->host_ips;
@@ -224,10 +242,15 @@
         auto [fault, socket] =
             co_await m_caller_acceptor.async_accept(as_values);
         if (fault)
+        {
+            co_await pause_accepting();
             continue;
+        }
         set_tcp_options(socket);
         const auto session =
             std::make_shared<caller_session>(std::move(socket), m_context);
+        if (!co_await session->admit())
+            continue;
         spawn(m_loop, session->run(), "caller session");
     }
 }
@@ -238,49 +261,84 @@
     {
         auto [fault, socket] =
             co_await m_readiness_acceptor.async_accept(as_values);
-        if (!fault)
-            spawn(m_loop, answer_readiness_checks(std::move(socket)),
-                  "answer readiness checks");
+        if (fault)
+        {
+            co_await pause_accepting();
+            continue;
+        }
+        auto connection = std::make_shared<tcp_t::socket>(std::move(socket));
+        if (m_readiness_connections.size() >= max_readiness_connections)
+        {
+            boost::system::error_code ignored; // the descriptor is released
+            m_readiness_connections.front()->close(ignored);
+            m_readiness_connections.pop_front();
+        }
+        m_readiness_connections.push_back(connection);
+        spawn(m_loop, answer_readiness_checks(std::move(connection)),
+              "answer readiness checks");
     }
 }
 
 asio::awaitable<void>
-traffic_loop::answer_readiness_checks(tcp_t::socket socket)
+traffic_loop::answer_readiness_checks(std::shared_ptr<tcp_t::socket> connection)
 {
     constexpr unsigned http_1_1 = 11;
     input_buffer buffer;
-    for (;;)
+    asio::steady_timer timer(m_loop);
+    bool open = true;
+    while (open)
     {
+        timer.expires_after(readiness_idle_time);
+        timer.async_wait(
+            [weak = std::weak_ptr(connection)](auto fault)
+            {
+                boost::system::error_code ignored; // the descriptor is released
+                if (const auto idle = weak.lock(); idle && !fault)
+                    idle->close(ignored);
+            });
         http::request<http::empty_body> probe;
         const auto [fault, count] =
-            co_await http::async_read(socket, buffer, probe, as_values);
+            co_await http::async_read(*connection, buffer, probe, as_values);
         if (fault)
-            co_return;
+            break;
+        // The one that was used last is closed last.
+        const auto position =
+            std::find(m_readiness_connections.begin(),
+                      m_readiness_connections.end(), connection);
+        if (position == m_readiness_connections.end())
+            break;
+        m_readiness_connections.splice(m_readiness_connections.end(),
+                                       m_readiness_connections, position);
         http::response<http::empty_body> reply(
             ready() ? http::status::ok : http::status::service_unavailable,
             http_1_1);
         reply.keep_alive(probe.keep_alive());
         reply.prepare_payload();
         const auto [write_fault, written] =
-            co_await http::async_write(socket, reply, as_values);
-        if (write_fault || !probe.keep_alive())
-            co_return;
+            co_await http::async_write(*connection, reply, as_values);
+        open = !write_fault && probe.keep_alive();
     }
+    m_readiness_connections.remove(connection);
 }
 
 void traffic_loop::log_counters() const
 {
+    constexpr std::size_t bytes_per_kb = 1024;
     const auto& counters = m_context.counters;
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
-                 "no_capacity={} no_path={} relayed={} in_flight={}",
+                 "no_capacity={} no_path={} no_room={} relayed={} "
+                 "in_flight={} connections={} held_kb={} shed={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
-                 counters.no_capacity, counters.no_path,
-                 m_context.relays.size(), m_context.in_flight);
+                 counters.no_capacity, counters.no_path, counters.no_room,
+                 m_context.relays.size(), m_context.in_flight,
+                 m_context.sessions.size(),
+                 m_context.callers.held().bytes / bytes_per_kb,
+                 m_context.callers.shed_count());
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional> // function
+#include <list>       // list
+#include <memory>     // shared_ptr
 #include <set>        // set
 #include <string>     // string
 #include <vector>     // vector
@@ -91,7 +93,10 @@
     /// Closes the connections of peers that carry no request.
     /// @return whether there are others
     bool close_quiet_relays(time_point_t now);
-    boost::asio::awaitable<void> answer_readiness_checks(tcp_t::socket socket);
+    /// Lets connections end before the next one is accepted.
+    boost::asio::awaitable<void> pause_accepting();
+    boost::asio::awaitable<void>
+    answer_readiness_checks(std::shared_ptr<tcp_t::socket> connection);
     boost::asio::awaitable<void> report_periodically();
     boost::asio::awaitable<void>
     drain(std::function<void(wallet_states_t)> done);
@@ -110,6 +115,8 @@
     tcp_t::acceptor m_caller_acceptor;
     tcp_t::acceptor m_readiness_acceptor;
     tcp_t::acceptor m_relay_acceptor;
+    /// Of readiness checks, the one that was used last at the end.
+    std::list<std::shared_ptr<tcp_t::socket>> m_readiness_connections;
     std::uint16_t m_announced_relay = 0;
     bool m_send_pending = false; ///< a report of the wallets is posted
 };
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -48,6 +48,14 @@
 constexpr std::size_t max_datagram_bytes = 60000;
 constexpr int accept_backlog = 64;
 
+/// One in this many descriptors may serve a state request; the oldest request
+/// yields to a new one.
+constexpr std::size_t state_request_part = 16;
+
+/// Time after which is accepted again if there was no descriptor for a
+/// connection.
+constexpr milliseconds accept_retry_interval{20};
+
 } // namespace
 
 peer_exchange::peer_exchange(asio::io_context& loop,
@@ -223,18 +231,38 @@
     for (;;)
     {
         auto [fault, socket] = co_await m_acceptor.async_accept(as_values);
-        if (!fault)
-            spawn(m_loop, answer_state_request(std::move(socket)),
-                  "state answer to a peer");
+        if (fault)
+        {
+            asio::steady_timer timer(m_loop, accept_retry_interval);
+            co_await timer.async_wait(as_values);
+            continue;
+        }
+        std::erase_if(m_state_requests,
+                      [](const auto& each)
+                      {
+                          return each.expired();
+                      });
+        if (!m_state_requests.empty() &&
+            m_state_requests.size() >=
+                m_settings.descriptors / state_request_part)
+        {
+            boost::system::error_code ignored; // the descriptor is released
+            if (const auto oldest = m_state_requests.front().lock())
+                oldest->close(ignored);
+            m_state_requests.pop_front();
+        }
+        auto connection =
+            std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+        m_state_requests.push_back(connection);
+        spawn(m_loop, answer_state_request(std::move(connection)),
+              "state answer to a peer");
     }
 }
 
-asio::awaitable<void>
-peer_exchange::answer_state_request(asio::ip::tcp::socket socket)
+asio::awaitable<void> peer_exchange::answer_state_request(
+    std::shared_ptr<asio::ip::tcp::socket> connection)
 {
     constexpr unsigned http_1_1 = 11;
-    const auto connection =
-        std::make_shared<asio::ip::tcp::socket>(std::move(socket));
     asio::steady_timer timer(m_loop, state_request_timeout);
     timer.async_wait(
         [weak = std::weak_ptr(connection)](auto fault)
--- a/src/peers/peer_exchange.hpp
+++ b/src/peers/peer_exchange.hpp
@@ -2,7 +2,8 @@
 
 #include <cstdint>    // uint64_t
 #include <functional> // function
-#include <memory>     // shared_ptr
+#include <list>       // list
+#include <memory>     // shared_ptr, weak_ptr
 #include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
@@ -96,8 +97,8 @@
     void handle_datagram(const peer_datagram_t& datagram,
                          const boost::asio::ip::udp::endpoint& from);
     boost::asio::awaitable<void> accept_state_requests();
-    boost::asio::awaitable<void>
-    answer_state_request(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> answer_state_request(
+        std::shared_ptr<boost::asio::ip::tcp::socket> connection);
     boost::asio::awaitable<void> fetch_state(socket_address address,
                                              std::string target);
 
@@ -107,6 +108,8 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_heartbeat_timer;
+    /// Connections of state requests, the oldest first.
+    std::list<std::weak_ptr<boost::asio::ip::tcp::socket>> m_state_requests;
     bool m_fetching = false; ///< a state request is in progress
     bool m_heartbeat_hastened = false;
 };
