Readers: a host with an old state asks the store, whatever others report

Cause: once a host of a zone reported that the store fails, all but the first three left the trying to others, however old their own state was.

Change: a host whose state is older than its bound is never idle. While others fail it asks by the cheapest call, and reads once it is answered. Hosts tell whether the store answers them (storeAnswers, appended), and while three of a zone fail, one that it answers reads for the zone. An answer counts for the age of the state only if the watches had begun before the call.

--- a/include/rhubarbgrade/detail/membership/reader_choice.hpp
+++ b/include/rhubarbgrade/detail/membership/reader_choice.hpp
@@ -14,14 +14,15 @@
 struct reader_candidate
 {
     std::string host;
-    double capacity = 0;  ///< see escrow_holding
-    bool failing = false; ///< the store doesn't answer it; it goes on trying
+    double capacity = 0;   ///< see escrow_holding
+    bool failing = false;  ///< the store doesn't answer it; it goes on trying
+    bool answered = false; ///< reads, and the store answers it
 };
 
 /// @brief Limits of the choice of readers.
 struct reader_policy
 {
-    /// Hosts of a zone that try a store that doesn't answer.
+    /// Hosts of a zone that read on trial a store that doesn't answer.
     std::size_t trying_hosts = 3;
     /// Time in which a change must be in force on each host.
     milliseconds apply_bound{2000};
@@ -38,13 +39,13 @@
 
 /// @brief Chooses the host that reads the store for its zone.
 ///
-/// The host of the highest capacity that the store answers. If it answers none,
-/// one host after the other tries, up to a bound, and all of these go on; so a
-/// store that refuses gets a constant number of calls from a zone, and the
-/// first call that succeeds ends that. Hosts that know the same reports choose
+/// The host of the highest capacity that doesn't fail to get answers. If one
+/// fails, the next tries, up to a bound; from then on only a host that is known
+/// to be answered is chosen, so that a store that refuses is watched by a
+/// constant number of hosts of a zone. Hosts that know the same reports choose
 /// alike, and a wrong choice costs calls only. Holds at any load, since the
 /// number of readers is that of the zones.
-/// @return its name; empty if those that try go on alone
+/// @return its name; empty if the store is known to answer none
 std::string choose_reader(std::span<const reader_candidate> zone,
                           const reader_policy& policy = {});
 
@@ -59,7 +60,15 @@
 /// read then is up to date in time.
 milliseconds max_state_age(std::size_t rank, const reader_policy& policy = {});
 
-/// @brief What decides whether a host reads the store itself.
+/// @brief What a host does at the store for its state.
+enum class store_use
+{
+    none,  ///< gets its state from others
+    asks,  ///< makes a cheap call now and then, until one is answered
+    reads, ///< watches it
+};
+
+/// @brief What decides how a host uses the store.
 struct reader_situation
 {
     bool chosen = false;         ///< by @ref choose_reader
@@ -68,15 +77,17 @@
     time_point_t confirmed_at{}; ///< when its state was the store's, at least
     std::size_t rank = 0;        ///< by @ref reader_rank
     bool failing = false;        ///< the store doesn't answer this host
+    bool answered = false;       ///< it reads, or its last call was answered
 };
 
-/// @brief Whether a host reads the store itself.
+/// @brief How a host uses the store.
 ///
-/// A host that isn't chosen does so if its state gets old: its reader has
-/// ended, hangs, lags, or is cut off from the store. If hosts report that the
-/// store fails, only the first few try, each until it has failed; then it waits
-/// for a sign of life.
-bool reads_store(const reader_situation& situation, time_point_t now,
-                 const reader_policy& policy = {});
+/// A host that isn't chosen reads if its state gets old: its reader has ended,
+/// hangs, lags, or is cut off from the store. If hosts report that the store
+/// fails, only the first few read on trial. The others ask first: their own
+/// path may be whole, so what others report is no reason to stay with an old
+/// state. With the state older than @ref max_state_age, it is never `none`.
+store_use use_of_store(const reader_situation& situation, time_point_t now,
+                       const reader_policy& policy = {});
 
 } // namespace rhubarbgrade
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -24,16 +24,18 @@
 std::string choose_reader(std::span<const reader_candidate> zone,
                           const reader_policy& policy)
 {
+    const auto trying =
+        static_cast<std::size_t>(std::count_if(zone.begin(), zone.end(),
+                                               [](const auto& each)
+                                               {
+                                                   return each.failing;
+                                               }));
     std::string best;
     rank_t best_rank;
-    std::size_t trying = 0;
     for (const auto& each : zone)
     {
-        if (each.failing)
-        {
-            ++trying;
+        if (each.failing || (trying >= policy.trying_hosts && !each.answered))
             continue;
-        }
         const auto rank = rank_of(each);
         if (best.empty() || rank > best_rank)
         {
@@ -41,7 +43,7 @@
             best_rank = rank;
         }
     }
-    return trying >= policy.trying_hosts ? std::string() : best;
+    return best;
 }
 
 std::size_t reader_rank(std::span<const reader_candidate> zone,
@@ -75,16 +77,19 @@
                                  static_cast<milliseconds::rep>(steps));
 }
 
-bool reads_store(const reader_situation& situation, time_point_t now,
-                 const reader_policy& policy)
+store_use use_of_store(const reader_situation& situation, time_point_t now,
+                       const reader_policy& policy)
 {
     if (situation.chosen)
-        return true;
-    if (situation.others_try && situation.knows_state &&
-        (situation.failing || situation.rank >= policy.trying_hosts))
-        return false;
-    return now - situation.confirmed_at >=
-           max_state_age(situation.rank, policy);
+        return store_use::reads;
+    if (now - situation.confirmed_at < max_state_age(situation.rank, policy))
+        return store_use::none;
+    // A host that knows nothing can serve nobody.
+    if (!situation.knows_state || !situation.others_try)
+        return store_use::reads;
+    const bool tries =
+        situation.answered || situation.rank < policy.trying_hosts;
+    return situation.failing || !tries ? store_use::asks : store_use::reads;
 }
 
 } // namespace rhubarbgrade
--- a/src/node/member_keeper.cpp
+++ b/src/node/member_keeper.cpp
@@ -84,7 +84,8 @@
     hash.add(heartbeat.address);
     hash.add(heartbeat.zone);
     hash.add(heartbeat.relay_port);
-    hash.add((heartbeat.can_write ? 1 : 0) + (heartbeat.store_failing ? 2 : 0));
+    hash.add((heartbeat.can_write ? 1 : 0) + (heartbeat.store_failing ? 2 : 0) +
+             (heartbeat.store_answers ? 4 : 0));
     for (const auto& crash : heartbeat.crashes.crashes)
     {
         hash.add(crash.process);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -599,11 +599,13 @@
 
 void node_control::choose_reader(time_point_t now)
 {
-    std::vector<reader_candidate> zone{
-        {m_settings.host, m_identity.capacity, m_reader.failing()}};
+    std::vector<reader_candidate> zone{{m_settings.host, m_identity.capacity,
+                                        m_reader.failing(),
+                                        m_reader.answered()}};
     for (const auto* const each : m_members.live_reports(now))
         if (each->started != 0 && each->zone == m_settings.zone)
-            zone.push_back({each->host, each->capacity, each->store_failing});
+            zone.push_back({each->host, each->capacity, each->store_failing,
+                            each->store_answers});
     // Nobody else is known right after the start.
     if (now - m_started < introduction)
         return;
@@ -737,6 +739,7 @@
         heartbeat.state_age = std::chrono::duration_cast<milliseconds>(
             std::max(now - confirmed_at(), time_point_t::duration::zero()));
     heartbeat.store_failing = m_reader.failing();
+    heartbeat.store_answers = m_reader.answered();
     heartbeat.store_era = m_store.era();
     return heartbeat;
 }
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -30,6 +30,10 @@
 constexpr milliseconds min_probe_pause{200};
 constexpr milliseconds max_probe_pause{1000};
 
+/// The same for hosts that aren't among the first to try: with the time-out, a
+/// path that is whole again is found within 2.2 s.
+constexpr milliseconds max_ask_pause{1500};
+
 /// Consecutive calls that fail until the host says so.
 constexpr int failures_to_tell = 2;
 
@@ -58,6 +62,7 @@
 void store_reader::record_outcome(bool answered)
 {
     m_failures = answered ? 0 : m_failures + 1;
+    m_answered = answered;
     m_suspect = m_suspect || !answered;
     m_recorded(answered);
     const bool failing = m_failing ? !answered : m_failures >= failures_to_tell;
@@ -80,19 +85,31 @@
                                             return each.failing;
                                         });
     m_rank = reader_rank(zone, m_host);
-    const bool reads = reads_store(
-        {chosen(), others_try, knows_state, confirmed_at, m_rank, m_failing},
-        now, m_policy);
-    if (reads == m_gate.open())
+    const auto use =
+        use_of_store({chosen(), others_try, knows_state, confirmed_at, m_rank,
+                      m_failing, m_gate.open() || m_answered},
+                     now, m_policy);
+    const bool reads = use == store_use::reads;
+    const bool asks = use == store_use::asks;
+    if (use == store_use::none)
+        m_answered = false;
+    if (reads == m_gate.open() && asks == m_asks)
         return;
     spdlog::info(
-        "event=store_reader reads={} chosen={} rank={} failing={} "
+        "event=store_reader reads={} asks={} chosen={} rank={} failing={} "
         "others_try={} state_age_ms={} max_state_age_ms={}",
-        reads, m_chosen_host, m_rank, m_failing, others_try,
+        reads, asks, m_chosen_host, m_rank, m_failing, others_try,
         std::chrono::duration_cast<milliseconds>(now - confirmed_at).count(),
         max_age().count());
-    m_gate.set_open(reads);
-    m_changed();
+    const bool begins_to_ask = asks && !m_asks;
+    m_asks = asks;
+    if (reads != m_gate.open())
+    {
+        m_gate.set_open(reads);
+        m_changed();
+    }
+    else if (begins_to_ask)
+        m_gate.wake();
 }
 
 milliseconds store_reader::next_probe()
@@ -100,8 +117,9 @@
     if (m_failures == 0)
         return probe_interval;
     constexpr int max_doublings = 3;
+    const bool among_first = chosen() || m_rank < m_policy.trying_hosts;
     const auto pause =
-        std::min(max_probe_pause,
+        std::min(among_first ? max_probe_pause : max_ask_pause,
                  min_probe_pause * (1 << std::min(m_failures, max_doublings)));
     std::uniform_int_distribution<milliseconds::rep> jitter(0,
                                                             pause.count() / 2);
@@ -115,15 +133,16 @@
     {
         co_await m_gate.pause(pause);
         pause = probe_interval;
-        if (!reads() && !m_failing)
+        if (!reads() && !m_failing && !m_asks)
             continue;
+        const bool watches = reads();
         auto target = platform::list_target(platform::move_kind, "", true);
         const auto answer = co_await m_store.call(
             call_purpose::probe, boost::beast::http::verb::get,
             std::move(target), {}, probe_timeout);
         const bool suspect = m_suspect;
         // It says nothing of a later state unless the watches stand.
-        if (answer.is(200) && !suspect)
+        if (answer.is(200) && !suspect && watches)
             m_answered_at = time_point_t::clock::now();
         record_outcome(answer.is(200));
         pause = next_probe();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -22,7 +22,8 @@
 ///
 /// Watches wait for long, so a path that is broken meanwhile is found by a
 /// cheap call each second: after a failed call, the first one that succeeds
-/// ends the watches that wait, and they start again.
+/// ends the watches that wait, and they start again. A host whose state is old
+/// while others fail makes that call, too, before it watches.
 class store_reader
 {
 public:
@@ -79,6 +80,12 @@
         return m_failing;
     }
 
+    /// @brief Whether this host reads, and its last call was answered.
+    bool answered() const
+    {
+        return reads() && m_answered;
+    }
+
     /// @brief Whether the watches have stood since the last sign of life; after
     ///        a failed call they may hang or be refused.
     bool watches_stand() const
@@ -97,15 +104,15 @@
     ///        state.
     void record_answer(bool answered, time_point_t now);
 
-    /// @brief Decides anew whether this host reads.
+    /// @brief Decides anew how this host uses the store.
     /// @param[in] zone          live hosts of the zone, this one included
     /// @param[in] knows_state   whether it has a configuration and endpoints
     /// @param[in] confirmed_at  when its state was the store's, at least
     void decide(std::span<const reader_candidate> zone, bool knows_state,
                 time_point_t confirmed_at, time_point_t now);
 
-    /// @brief Asks the store for a sign of life while this host reads it, or
-    ///        tries to; never returns.
+    /// @brief Asks the store for a sign of life while this host reads it, tries
+    ///        to, or has an old state; never returns.
     boost::asio::awaitable<void> probe();
 
 private:
@@ -122,9 +129,11 @@
     time_point_t m_answered_at{};
     int m_failures = 0; ///< consecutive
     std::string m_chosen_host;
-    std::size_t m_rank = 0; ///< among the hosts of the zone
-    bool m_failing = false; ///< told to the other hosts
-    bool m_suspect = false; ///< a call has failed since the watches began
+    std::size_t m_rank = 0;  ///< among the hosts of the zone
+    bool m_asks = false;     ///< its state is old, and it doesn't read yet
+    bool m_answered = false; ///< the last call since it began to ask or read
+    bool m_failing = false;  ///< told to the other hosts
+    bool m_suspect = false;  ///< a call has failed since the watches began
 };
 
 } // namespace rhubarbgrade
--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -84,6 +84,7 @@
   stateAge @18 :UInt32;      # of its state, ms plus one; 0: unknown
   storeFailing @19 :Bool;    # the store doesn't answer the sender
   storeEra @20 :UInt64;      # the latest that the sender knows
+  storeAnswers @21 :Bool;    # the sender reads the store, which answers it
 }
 
 # A host's report as others pass it on.
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -1175,6 +1175,8 @@
 
   inline  ::uint64_t getStoreEra() const;
 
+  inline bool getStoreAnswers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1302,6 +1304,9 @@
   inline  ::uint64_t getStoreEra();
   inline void setStoreEra( ::uint64_t value);
 
+  inline bool getStoreAnswers();
+  inline void setStoreAnswers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4199,6 +4204,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::getStoreAnswers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getStoreAnswers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStoreAnswers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasBeat() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/peer_state.cpp
+++ b/src/peers/peer_state.cpp
@@ -263,6 +263,7 @@
     heartbeat.asks_hub = root.getAsksHub();
     heartbeat.state_age = read_age(root.getStateAge());
     heartbeat.store_failing = root.getStoreFailing();
+    heartbeat.store_answers = root.getStoreAnswers();
     heartbeat.store_era = root.getStoreEra();
     return heartbeat;
 }
@@ -291,6 +292,7 @@
     root.setAsksHub(heartbeat.asks_hub);
     root.setStateAge(write_age(heartbeat.state_age));
     root.setStoreFailing(heartbeat.store_failing);
+    root.setStoreAnswers(heartbeat.store_answers);
     root.setStoreEra(heartbeat.store_era);
 }
 
--- a/src/peers/peer_state.hpp
+++ b/src/peers/peer_state.hpp
@@ -90,6 +90,7 @@
     /// Since the sender's state was the store's; empty if it doesn't tell.
     std::optional<milliseconds> state_age;
     bool store_failing = false;  ///< the store doesn't answer the sender
+    bool store_answers = false;  ///< the sender reads it, with success
     std::uint64_t store_era = 0; ///< the latest that the sender knows
 };
 
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -21,16 +21,16 @@
     if (open == m_open)
         return;
     m_open = open;
-    wake_all();
+    wake();
 }
 
 void watch_gate::renew()
 {
     ++m_renewals;
-    wake_all();
+    wake();
 }
 
-void watch_gate::wake_all()
+void watch_gate::wake()
 {
     for (auto* const timer : m_waiting)
         timer->cancel();
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -28,6 +28,9 @@
     /// @brief The store answers again: ends all pauses.
     void renew();
 
+    /// @brief Ends all pauses.
+    void wake();
+
     /// @brief Number of calls of @ref renew.
     std::uint64_t renewals() const
     {
@@ -41,8 +44,6 @@
     boost::asio::awaitable<void> pause(milliseconds time);
 
 private:
-    void wake_all();
-
     boost::asio::any_io_executor m_executor;
     std::set<boost::asio::steady_timer*> m_waiting;
     std::uint64_t m_renewals = 0;
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -159,6 +159,7 @@
     peer_heartbeat beat;
     beat.host = "h1";
     beat.configuration = 7;
+    beat.store_answers = true;
     beat.crashes.crashes.push_back(
         {5, milliseconds(70), {{11, {2, true}}, {12, {0, false}}}});
     beat.crashes.quarantined.push_back({13, milliseconds(900), true});
@@ -170,6 +171,7 @@
     const auto* const decoded = std::get_if<peer_heartbeat>(&*datagram);
     REQUIRE(decoded != nullptr);
     CHECK(decoded->host == "h1");
+    CHECK(decoded->store_answers);
     REQUIRE(decoded->crashes.crashes.size() == 1);
     const auto& crash = decoded->crashes.crashes[0];
     CHECK(crash.process == 5);
