--- a/src/peers/peer_protocol.capnp
+++ b/src/peers/peer_protocol.capnp
@@ -89,6 +89,7 @@
   evacuatedZones @21 :List(Text);
   evacuationsEra @22 :UInt64;
   evacuationsRevision @23 :UInt64;
+  storeAnswers @24 :Bool;    # the sender reads the store, which answers it
 }
 
 # A host's report as others pass it on.
--- a/src/peers/peer_protocol.capnp.h
+++ b/src/peers/peer_protocol.capnp.h
@@ -1182,6 +1182,8 @@
 
   inline  ::uint64_t getEvacuationsRevision() const;
 
+  inline bool getStoreAnswers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1323,6 +1325,9 @@
   inline  ::uint64_t getEvacuationsRevision();
   inline void setEvacuationsRevision( ::uint64_t value);
 
+  inline bool getStoreAnswers();
+  inline void setStoreAnswers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4291,6 +4296,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::getStoreAnswers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getStoreAnswers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setStoreAnswers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasBeat() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
