Placing: read the pace of a machine, and let old load reports fade to the mean

Cause: endpoints on shared machines report their load with a fourth figure, the pace of the machine. It was refused as malformed, so no host knew any load there. Where the load is read, a report faded to 0 within seconds: of two endpoints with the same load, the one that had reported less recently seemed to be empty, and a request left the prompt cache that the host had just filled. Change: "running,waiting,slots" and "running,waiting,slots,pace" are read; other numbers of figures and negative ones are refused, counted in event=traffic (load_unreadable) and logged once. A report fades to the mean of the service's recent reports. The pace is kept as a moving average; placing doesn't use it.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -333,7 +333,7 @@
     report.latency_s = std::chrono::duration<double>(now - started_at).count();
     report.status = parser->get().result_int();
     report.fields = parser->get();
-    endpoint_directory::record_load(*m_endpoint, head, now);
+    m_directory.record_load(*m_endpoint, head, now);
     if (report.status != misdirected)
         m_directory.record_limit(*m_endpoint, head, started_at, now);
     const bool has_event_stream = params.is_event_stream &&
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -68,10 +68,8 @@
 /// Weight of the newest result in the moving average of the failure rate.
 constexpr double failure_weight = 0.12;
 
-/// Time constant, in seconds, of the exponential decay of a reported load.
-constexpr double load_decay_s = 1.0;
-
-/// The same for a reported queue, which takes longer to be worked off.
+/// Time constant, in seconds, of the exponential decay of a reported queue,
+/// which takes longer to be worked off than the load.
 constexpr double queue_decay_s = 2.0;
 
 /// Waiting requests, as reported, from which a brittle engine gets no more.
@@ -184,9 +182,9 @@
     // The other hosts are assumed to have as many there.
     const auto own_share = static_cast<double>(delayed) *
                            static_cast<double>(std::max<std::size_t>(1, hosts));
-    return {std::max(own_share,
-                     endpoint.reported_waiting * decay(endpoint.reported_at)),
-            wait};
+    return {
+        std::max(own_share, endpoint.load.waiting * decay(endpoint.load.at)),
+        wait};
 }
 
 /// Idle time from which a connection is no longer reused.
@@ -383,6 +381,9 @@
     std::vector<placing_candidate> candidates;
     candidates.reserve(pool.size());
     const bool engine = has_engine(criteria.service);
+    mean_load mean;
+    for (const auto& each : pool)
+        mean.add(each->load, now);
     for (const auto& each : pool)
     {
         placing_candidate candidate_state;
@@ -390,9 +391,8 @@
         candidate_state.same_zone = each->entry.zone == m_zone;
         candidate_state.in_flight = each->in_flight;
         candidate_state.limit = slot_limit(*each, m_view->hosts);
-        const std::chrono::duration<double> age = now - each->reported_at;
         candidate_state.reported_load =
-            each->reported_load * std::exp(-age.count() / load_decay_s);
+            expected_load(each->load, mean.value(), now);
         if (engine)
             candidate_state.queue =
                 queue_of(*each, criteria, m_view->hosts, now);
@@ -782,12 +782,17 @@
                                      const platform::response_head& head,
                                      time_point_t now)
 {
+    if (head.load_unreadable && m_unreadable_loads++ == 0)
+        spdlog::warn("event=load_unreadable service={} endpoint={}",
+                     endpoint.entry.service, endpoint.entry.id);
     if (head.running < 0)
         return;
-    endpoint.reported_load = static_cast<double>(head.running + head.waiting) /
-                             std::max(1, head.slots);
-    endpoint.reported_waiting = head.waiting;
-    endpoint.reported_at = now;
+    constexpr double percent = 100;
+    record_report(endpoint.load,
+                  static_cast<double>(head.running + head.waiting) /
+                      std::max(1, head.slots),
+                  head.waiting, head.pace_percent.value_or(percent) / percent,
+                  now);
 }
 
 void endpoint_directory::record_limit(pool_endpoint& endpoint,
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>       // uint64_t
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -155,9 +156,14 @@
 
     /// @brief Records the load that an endpoint has reported in a response, if
     ///        the response contains one.
-    static void record_load(pool_endpoint& endpoint,
-                            const platform::response_head& head,
-                            time_point_t now);
+    void record_load(pool_endpoint& endpoint,
+                     const platform::response_head& head, time_point_t now);
+
+    /// @brief Number of responses whose load could not be read.
+    std::uint64_t unreadable_loads() const
+    {
+        return m_unreadable_loads;
+    }
 
     /// @brief Reports the limits that an answer names, or that it no longer
     ///        names one.
@@ -210,6 +216,7 @@
     std::function<void()> m_on_reach;
     std::map<std::string, service_path, std::less<>> m_paths;
     std::map<std::string, time_point_t> m_relay_failures; ///< by host
+    std::uint64_t m_unreadable_loads = 0;
     fleet_view_ptr_t m_view;
     std::unordered_map<std::string, endpoint_ptr_t> m_by_id;
     std::map<std::string, std::vector<endpoint_ptr_t>, std::less<>>
--- a/src/gateway/pool_endpoint.hpp
+++ b/src/gateway/pool_endpoint.hpp
@@ -9,6 +9,7 @@
 
 #include <rhubarbgrade/detail/base/types.hpp>            // time_point_t
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp>  // endpoint_entry
+#include <rhubarbgrade/detail/placing/endpoint_load.hpp> // endpoint_load
 #include <rhubarbgrade/detail/routing/request_limit.hpp> // request_share
 #include <rhubarbgrade/detail/routing/slot_share.hpp>    // slot_share
 
@@ -50,13 +51,11 @@
     double failure_rate = 0;                 ///< moving average, 0 to 1
     int consecutive_failures = 0;
     time_point_t ejected_until{};
-    double reported_load = 0;    ///< requests per slot
-    double reported_waiting = 0; ///< requests without a slot or memory
+    endpoint_load load; ///< as reported
     /// When requests were sent that have no answer yet.
     std::multiset<time_point_t> unanswered;
     milliseconds last_wait{0}; ///< of the last request to get one or to end
     time_point_t last_wait_at{};
-    time_point_t reported_at{};
     recent_prompt_parts recent_parts;
     /// This host's share of the endpoint's request limit, if it has one.
     std::optional<request_share> share;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -274,13 +274,15 @@
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
-                 "no_capacity={} no_path={} relayed={} in_flight={}",
+                 "no_capacity={} no_path={} relayed={} in_flight={} "
+                 "load_unreadable={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
                  counters.no_capacity, counters.no_path,
-                 m_context.relays.size(), m_context.in_flight);
+                 m_context.relays.size(), m_context.in_flight,
+                 m_context.directory.unreadable_loads());
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/tests/unit/unit-directory.cpp
+++ b/tests/unit/unit-directory.cpp
@@ -56,7 +56,7 @@
         busy.waiting = 40;
         busy.slots = 8;
         while (const auto endpoint = m_directory.choose(criteria, start))
-            endpoint_directory::record_load(*endpoint, busy, start);
+            m_directory.record_load(*endpoint, busy, start);
     }
 
     /// The version that the request is sent to; empty if it has to wait.
