Routing: a host that is late itself is not cut from a service

Cause: a connection that took longer than 400 ms counted as a failure of the path, also when the host's own link was full or its loop late. Such a host announced cuts and their ends in turn and had its connections passed on by others, which uses its link twice. Change: the host samples the delay of its loop, the time in which connections open and the use of its link (host_load). While it is late, or bytes still come from the service, a connection has failed after 1.5 s; the request goes elsewhere after 400 ms as before, and the connection is kept if it opens later. Until it has failed, it is held neither against the path nor against the endpoint. Result: unit tests "[reach]" pass: connections that open in 700 ms lead to no cut, a host that is cut knows it within 600 ms, or within 1.7 s if open connections are spared.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -118,6 +118,7 @@
     report.outcome = attempt_outcome::may_have_run;
     const auto [fault, count] =
         co_await http::async_write(m_link->socket, message, as_values);
+    m_directory.count_bytes(count);
     if (fault && count == 0)
         report.outcome = attempt_outcome::not_sent;
     co_return !fault;
@@ -137,6 +138,7 @@
         parser->skip(params.request.method() == http::verb::head);
         const auto [fault, count] = co_await http::async_read_header(
             m_link->socket, m_link->buffer, *parser, as_values);
+        m_directory.count_bytes(count);
         if (fault)
             co_return false;
         head = platform::decode_response(parser->get());
@@ -215,6 +217,7 @@
         if (fault && !buffer_full)
             co_return;
         const auto received = chunk.size() - body.size;
+        m_directory.count_bytes(received);
         if (received != 0 && !m_relayed)
             m_directory.record_bytes(*m_endpoint, time_point_t::clock::now());
         if (received != 0 &&
@@ -280,7 +283,8 @@
         report.path_failed =
             m_directory.is_cut(m_endpoint->entry.service) ||
             (report.outcome == attempt_outcome::not_sent &&
-             m_directory.may_be_cut(m_endpoint->entry.service));
+             (m_directory.is_late() ||
+              m_directory.may_be_cut(m_endpoint->entry.service)));
     co_return report;
 }
 
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // any_of, count_if, find, max, min
 #include <cmath>     // exp
 #include <iterator>  // distance
-#include <memory>    // make_shared, weak_ptr
+#include <memory>    // make_shared
 #include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
@@ -28,9 +28,9 @@
 namespace
 {
 
-/// Time-out of a new connection: several round trips to the farthest zone of a
-/// region (3 ms each) and time for a busy endpoint. It does not cover a lost
-/// packet, whose retransmission takes a second.
+/// Time for which a request waits for a new connection: several round trips to
+/// the farthest zone of a region (3 ms each) and time for a busy endpoint. It
+/// does not cover a lost packet, whose retransmission takes a second.
 constexpr milliseconds connect_timeout{400};
 
 /// Longest idle time of a connection that is reused for a request that must not
@@ -696,30 +696,118 @@
     }
 }
 
+struct endpoint_directory::opening
+{
+    opening(const asio::any_io_executor& executor, endpoint_ptr_t with_endpoint)
+        : endpoint(std::move(with_endpoint)),
+          link(std::make_shared<endpoint_link>(executor)),
+          timer(executor)
+    {
+    }
+
+    endpoint_ptr_t endpoint;
+    endpoint_link_ptr_t link;
+    time_point_t started = time_point_t::clock::now();
+    asio::steady_timer timer; ///< of the wait, then of the connection
+    /// Set when the connection has opened or failed.
+    std::optional<boost::system::error_code> result;
+    bool abandoned = false; ///< nobody waits any more
+    /// The wait ended while the host was late: whether the endpoint answers
+    /// shows when the connection ends.
+    bool undecided = false;
+};
+
 asio::awaitable<open_result>
 endpoint_directory::open_direct(endpoint_ptr_t endpoint)
 {
     const auto address = to_endpoint(endpoint->entry.address);
     if (!address)
         co_return open_result{};
-    auto link = std::make_shared<endpoint_link>(m_executor);
-    asio::steady_timer connect_timer(m_executor, connect_timeout);
-    connect_timer.async_wait(
-        [weak = std::weak_ptr(link)](auto fault)
+    const auto pending = std::make_shared<opening>(m_executor, endpoint);
+    pending->link->socket.async_connect(
+        *address,
+        [this, pending](const boost::system::error_code& fault)
         {
-            boost::system::error_code ignored; // the connect is cancelled
-            if (const auto pending_link = weak.lock(); pending_link && !fault)
-                pending_link->socket.close(ignored);
+            if (!pending->result)
+                end_opening(*pending, fault);
         });
-    const auto [fault] = co_await link->socket.async_connect(
-        *address, asio::as_tuple(asio::use_awaitable));
-    const bool in_time = connect_timer.cancel() != 0;
-    record_open_result(*endpoint, in_time && !fault);
-    if (!in_time || fault)
-        co_return open_result{nullptr,
-                              fault == asio::error::connection_refused};
-    set_tcp_options(link->socket);
-    co_return open_result{std::move(link), false};
+    pending->timer.expires_after(connect_timeout);
+    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!pending->result)
+    {
+        abandon(pending);
+        co_return open_result{};
+    }
+    if (*pending->result)
+        co_return open_result{nullptr, *pending->result ==
+                                           asio::error::connection_refused};
+    co_return open_result{std::move(pending->link), false};
+}
+
+void endpoint_directory::abandon(const std::shared_ptr<opening>& pending)
+{
+    pending->abandoned = true;
+    pending->undecided = m_host_load.late;
+    const auto silence = std::chrono::duration_cast<milliseconds>(
+        time_point_t::clock::now() -
+        m_paths[pending->endpoint->entry.service].last_byte);
+    const auto limit =
+        pending->started + connect_evidence_time(m_host_load, silence);
+    const auto give_up = [this](opening& late)
+    {
+        end_opening(late, asio::error::timed_out);
+        boost::system::error_code ignored; // the connect is cancelled
+        late.link->socket.close(ignored);
+    };
+    if (time_point_t::clock::now() >= limit)
+        return give_up(*pending);
+    pending->timer.expires_at(limit);
+    pending->timer.async_wait(
+        [give_up, pending](auto fault)
+        {
+            if (!fault && !pending->result)
+                give_up(*pending);
+        });
+}
+
+void endpoint_directory::end_opening(opening& pending,
+                                     const boost::system::error_code& fault)
+{
+    const auto now = time_point_t::clock::now();
+    pending.result = fault;
+    pending.timer.cancel();
+    if (!fault)
+    {
+        m_connect_time = std::max(
+            m_connect_time,
+            std::chrono::duration_cast<milliseconds>(now - pending.started));
+        set_tcp_options(pending.link->socket);
+    }
+    record_open_result(*pending.endpoint, !fault);
+    if (!pending.abandoned)
+        return;
+    if (!fault)
+        return_connection(*pending.endpoint, std::move(pending.link), now);
+    else if (pending.undecided && !may_be_cut(pending.endpoint->entry.service))
+        record_result(*pending.endpoint, false, now);
+}
+
+void endpoint_directory::record_host_sample(milliseconds loop_delay,
+                                            double link_mbps, time_point_t now)
+{
+    constexpr double megabit_bytes = 125000;
+    const std::chrono::duration<double> interval = now - m_sampled_at;
+    const auto bytes = static_cast<double>(std::exchange(m_bytes, 0));
+    const host_sample sample{
+        loop_delay, std::exchange(m_connect_time, milliseconds(0)),
+        bytes / (link_mbps * megabit_bytes * std::max(1e-3, interval.count()))};
+    m_sampled_at = now;
+    if (record_sample(m_host_load, sample, now))
+        spdlog::info(
+            "event={} loop_delay_ms={} connect_ms={} link_share={:.2f}",
+            m_host_load.late ? "host_late" : "host_in_time",
+            sample.loop_delay.count(), sample.connect_time.count(),
+            sample.link_share);
 }
 
 void endpoint_directory::return_connection(pool_endpoint& endpoint,
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <functional>    // function
 #include <map>           // map
@@ -12,11 +13,13 @@
 
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 #include <boost/asio/awaitable.hpp>       // awaitable
+#include <boost/system/error_code.hpp>    // error_code
 
-#include <rhubarbgrade/detail/fleet/fleet_view.hpp> // fleet_view_ptr_t
-#include <rhubarbgrade/detail/routing/choose.hpp>   // random_source_t
-#include <rhubarbgrade/detail/routing/reach.hpp>    // service_reach
-#include <rhubarbgrade/detail/routing/relay.hpp>    // relay_host
+#include <rhubarbgrade/detail/fleet/fleet_view.hpp>  // fleet_view_ptr_t
+#include <rhubarbgrade/detail/routing/choose.hpp>    // random_source_t
+#include <rhubarbgrade/detail/routing/host_load.hpp> // host_load
+#include <rhubarbgrade/detail/routing/reach.hpp>     // service_reach
+#include <rhubarbgrade/detail/routing/relay.hpp>     // relay_host
 
 #include "pool_endpoint.hpp" // endpoint_link, pool_endpoint
 
@@ -130,6 +133,27 @@
     /// @brief Records that bytes have come over a direct connection.
     void record_bytes(const pool_endpoint& endpoint, time_point_t now);
 
+    /// @brief Takes in what the host measured of itself since the last call; to
+    ///        be called a few times a second.
+    /// @param[in] loop_delay  by which a timer of the event loop was late
+    /// @param[in] link_mbps   bandwidth of the host's link, Mbit/s
+    void record_host_sample(milliseconds loop_delay, double link_mbps,
+                            time_point_t now);
+
+    /// @brief Counts bytes of requests and answers against the host's link,
+    ///        which carries each of them in once and out once.
+    void count_bytes(std::size_t count)
+    {
+        m_bytes += count;
+    }
+
+    /// @brief Whether this host, or its link, is late: what seems to be late
+    ///        elsewhere may be its own delay.
+    bool is_late() const
+    {
+        return m_host_load.late;
+    }
+
     /// @brief Finds out whether services still can be reached from which
     ///        nothing comes; to be called a few times a second.
     void check_silence(time_point_t now);
@@ -189,6 +213,12 @@
         bool probing = false;
     };
 
+    /// A direct connection that is being opened.
+    struct opening;
+
+    /// Ends the wait for a connection. It may still open, and is then kept.
+    void abandon(const std::shared_ptr<opening>& pending);
+    void end_opening(opening& pending, const boost::system::error_code& fault);
     boost::asio::awaitable<open_result> open_relayed(endpoint_ptr_t endpoint);
     void record_open_result(const pool_endpoint& endpoint, bool opened);
     void on_cut(const std::string& service);
@@ -214,6 +244,11 @@
     random_source_t m_random;
     std::function<void(const limit_observation&)> m_on_limit;
     std::function<void()> m_on_reach;
+    host_load m_host_load;
+    // Since the last sample:
+    milliseconds m_connect_time{0}; ///< slowest connection that opened
+    std::uint64_t m_bytes = 0;      ///< of requests and answers
+    time_point_t m_sampled_at{};
     std::map<std::string, service_path, std::less<>> m_paths;
     std::map<std::string, time_point_t> m_relay_failures; ///< by host
     std::uint64_t m_unreadable_loads = 0;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -293,9 +293,13 @@
     {
         timer.expires_after(report_interval);
         co_await timer.async_wait(as_values);
-        if (const auto now = time_point_t::clock::now(); now >= next_log)
+        const auto woken_at = time_point_t::clock::now();
+        m_context.directory.record_host_sample(
+            std::chrono::duration_cast<milliseconds>(woken_at - timer.expiry()),
+            m_settings.link_mbps, woken_at);
+        if (woken_at >= next_log)
         {
-            next_log = now + log_interval;
+            next_log = woken_at + log_interval;
             log_counters();
         }
         m_context.directory.close_idle_connections(time_point_t::clock::now());
--- a/tests/unit/unit-reach.cpp
+++ b/tests/unit/unit-reach.cpp
@@ -1,19 +1,24 @@
 // Decisions of a host that may be cut from the endpoints: whether it is, and
 // through which other host it sends its requests.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include <rhubarbgrade/detail/routing/host_load.hpp>
 #include <rhubarbgrade/detail/routing/reach.hpp>
 #include <rhubarbgrade/detail/routing/relay.hpp>
 
 #include "../../src/peers/peer_state.hpp"
 
 using namespace rhubarbgrade;
+using std::chrono::seconds;
 
 namespace
 {
@@ -140,3 +145,143 @@
     REQUIRE(decoded);
     CHECK(std::get<peer_heartbeat>(*decoded).relay_port == 7341);
 }
+
+namespace
+{
+
+/// A host that opens connections to one service, one every interval, each to
+/// another endpoint.
+class connecting_host
+{
+public:
+    /// @param[in] opens_after  time in which each connection opens
+    /// @param[in] last_byte    of the service, over connections open already
+    /// @return time from the start until the host counts as cut, if it does
+    std::optional<milliseconds>
+    cut_after(std::optional<milliseconds> opens_after,
+              std::optional<milliseconds> last_byte)
+    {
+        constexpr milliseconds step{10};
+        constexpr milliseconds interval{50};
+        constexpr milliseconds sample_interval{250};
+        std::map<std::uint64_t, time_point_t> pending;
+        std::uint64_t next = 1;
+        milliseconds slowest{0};
+        for (milliseconds at{0}; at < seconds(8); at += step)
+        {
+            const auto now = start + at;
+            if (at % interval == milliseconds(0))
+                pending[next++] = now;
+            // Bytes come all the time until the last one.
+            const auto silence =
+                last_byte ? std::max(milliseconds(0), at - *last_byte)
+                          : milliseconds::max();
+            const auto limit = connect_evidence_time(m_load, silence);
+            std::erase_if(pending,
+                          [&](const auto& each)
+                          {
+                              const auto age =
+                                  std::chrono::duration_cast<milliseconds>(
+                                      now - each.second);
+                              const bool opened =
+                                  opens_after && age >= *opens_after;
+                              if (!opened && age < limit)
+                                  return false;
+                              if (opened)
+                                  slowest = std::max(slowest, age);
+                              record_open(m_reach, each.first, opened, now);
+                              return true;
+                          });
+            if (update_cut(m_reach, endpoints, false, now))
+                return at;
+            if (at % sample_interval == milliseconds(0))
+                record_sample(m_load,
+                              {milliseconds(0),
+                               std::exchange(slowest, milliseconds(0)), 0},
+                              now);
+        }
+        return std::nullopt;
+    }
+
+    bool late() const
+    {
+        return m_load.late;
+    }
+
+private:
+    service_reach m_reach;
+    host_load m_load;
+};
+
+} // namespace
+
+TEST_CASE("a host whose link is full, so that connections open in 700 ms, is "
+          "not cut",
+          "[reach]")
+{
+    connecting_host host;
+    const auto always = milliseconds(std::chrono::hours(1));
+    CHECK_FALSE(host.cut_after(milliseconds(700), always));
+    CHECK(host.late());
+}
+
+TEST_CASE("a host that is cut knows it after its connections' usual time",
+          "[reach]")
+{
+    SECTION("nothing comes from the service")
+    {
+        connecting_host host;
+        const auto found = host.cut_after(std::nullopt, std::nullopt);
+        REQUIRE(found);
+        CHECK(*found <= milliseconds(600));
+    }
+    SECTION("bytes come until the cut")
+    {
+        connecting_host host;
+        const auto found = host.cut_after(std::nullopt, milliseconds(0));
+        REQUIRE(found);
+        CHECK(*found <= milliseconds(600));
+    }
+}
+
+TEST_CASE("a host that is cut knows it in time if connections that are open "
+          "are spared",
+          "[reach]")
+{
+    connecting_host host;
+    const auto found =
+        host.cut_after(std::nullopt, milliseconds(std::chrono::hours(1)));
+    REQUIRE(found);
+    CHECK(*found <= milliseconds(1700));
+}
+
+TEST_CASE("a host is late from the first late sample until it was in time for "
+          "a second",
+          "[reach]")
+{
+    host_load load;
+    CHECK_FALSE(
+        record_sample(load, {milliseconds(20), milliseconds(10), 0.5}, start));
+    CHECK_FALSE(load.late);
+    SECTION("its event loop")
+    {
+        CHECK(record_sample(load, {milliseconds(150), milliseconds(0), 0},
+                            start));
+    }
+    SECTION("its connections")
+    {
+        CHECK(record_sample(load, {milliseconds(0), milliseconds(700), 0},
+                            start));
+    }
+    SECTION("its link")
+    {
+        CHECK(record_sample(load, {milliseconds(0), milliseconds(0), 0.95},
+                            start));
+    }
+    CHECK(load.late);
+    for (int i = 1; i < 4; ++i)
+        CHECK_FALSE(record_sample(load, {}, start + i * milliseconds(250)));
+    CHECK(load.late);
+    CHECK(record_sample(load, {}, start + milliseconds(1000)));
+    CHECK_FALSE(load.late);
+}
