Routing: hedged requests, off by default

Cause: a slow endpoint delays the requests it has by seconds, though others would answer at once. Change: an idempotent request whose answer is later than the 95th percentile of its route's latest latencies is sent to a second endpoint; the first complete answer goes to the caller, the other connection is closed. Bounded by the operators' share of extra requests (--hedge-share or hedging.share, 0 by default), half of the shared retry limit and the route's attempts; none while requests wait, the endpoints or the host are late, or the host stops. A cancelled attempt feeds no health, crash evidence or samples.

--- a/src/daemon/rhubarbgrade_node.cpp
+++ b/src/daemon/rhubarbgrade_node.cpp
@@ -2,14 +2,20 @@
 // of the fleet. Settings, configuration and endpoints come from the platform
 // that manages the hosts.
 
-#include <csignal>   // sigaddset, sigtimedwait
-#include <exception> // exception
-#include <fstream>   // ifstream
-#include <iostream>  // cerr, cout
-#include <iterator>  // istreambuf_iterator
-#include <string>    // string
-#include <thread>    // thread
-#include <utility>   // move
+#include <charconv>     // from_chars
+#include <csignal>      // sigaddset, sigtimedwait
+#include <cstddef>      // size_t
+#include <exception>    // exception
+#include <fstream>      // ifstream
+#include <iostream>     // cerr, cout
+#include <iterator>     // istreambuf_iterator
+#include <optional>     // optional
+#include <span>         // span
+#include <string>       // string
+#include <string_view>  // string_view
+#include <system_error> // errc
+#include <thread>       // thread
+#include <utility>      // move
 
 #include <spdlog/sinks/stdout_sinks.h> // stdout_logger_mt
 #include <spdlog/spdlog.h>             // set_default_logger
@@ -35,12 +41,48 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
+/// The command line: [--hedge-share SHARE] [SETTINGS]
+struct command_line
+{
+    std::string settings_path = rhubarbgrade::platform::settings_path();
+    std::optional<double> hedge_share; ///< goes before the settings file
+};
+
+/// @return empty if the command line is malformed
+std::optional<command_line> parse_command_line(std::span<char*> words)
+{
+    command_line parsed;
+    for (std::size_t i = 1; i < words.size(); ++i)
+    {
+        const std::string_view word = words[i];
+        if (!word.starts_with("--"))
+        {
+            parsed.settings_path = word;
+            continue;
+        }
+        if (word != "--hedge-share" || i + 1 == words.size())
+            return std::nullopt;
+        const std::string_view value = words[++i];
+        double share = 0;
+        const auto* end = value.data() + value.size();
+        const auto [parsed_end, fault] =
+            std::from_chars(value.data(), end, share);
+        if (fault != std::errc() || parsed_end != end ||
+            !(share >= 0 && share <= 1))
+            return std::nullopt;
+        parsed.hedge_share = share;
+    }
+    return parsed;
+}
+
 /// A settings file and its text when it was last read.
 class settings_file
 {
 public:
-    explicit settings_file(std::string path)
-        : m_path(std::move(path)), m_text(read_file(m_path))
+    explicit settings_file(command_line line)
+        : m_path(std::move(line.settings_path)),
+          m_hedge_share(line.hedge_share),
+          m_text(read_file(m_path))
     {
     }
 
@@ -56,7 +98,10 @@
 
     rhubarbgrade::platform::boot_settings decoded() const
     {
-        return rhubarbgrade::platform::decode_settings(m_text);
+        auto boot = rhubarbgrade::platform::decode_settings(m_text);
+        if (m_hedge_share)
+            boot.hedging.share = *m_hedge_share;
+        return boot;
     }
 
     /// Reads the file again; an empty or unreadable file counts as unchanged.
@@ -72,6 +117,7 @@
 
 private:
     std::string m_path;
+    std::optional<double> m_hedge_share;
     std::string m_text;
 };
 
@@ -122,8 +168,17 @@
 
 int main(int argc, char** argv)
 {
-    settings_file file(argc > 1 ? argv[1]
-                                : rhubarbgrade::platform::settings_path());
+    const auto line =
+        parse_command_line({argv, static_cast<std::size_t>(argc)});
+    if (!line)
+    {
+        std::cerr << "usage: " << argv[0]
+                  << " [--hedge-share SHARE] [SETTINGS]\n"
+                     "SHARE: second attempts for late answers, for each "
+                     "request that may be repeated; 0 to 1\n";
+        return exit_bad_settings;
+    }
+    settings_file file(*line);
     if (!file.readable())
     {
         std::cerr << "can't read the settings file \"" << file.path() << "\"\n";
@@ -153,7 +208,7 @@
         spdlog::pattern_time_type::utc);
     try
     {
-        rhubarbgrade::node host(settings);
+        rhubarbgrade::node host(settings, boot.hedging);
         host.start();
         const auto ports = host.ports();
         std::cout << "ready " << ports.readiness << "\npeers " << ports.peers
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,6 +1,6 @@
 #include "caller_exchange.hpp"
 
-#include <algorithm>   // max, min
+#include <algorithm>   // all_of, find_if, max, min
 #include <chrono>      // duration_cast
 #include <cmath>       // lround
 #include <memory>      // make_shared
@@ -8,14 +8,20 @@
 #include <string_view> // string_view
 #include <utility>     // move
 
+#include <boost/asio/as_tuple.hpp>      // as_tuple
+#include <boost/asio/use_awaitable.hpp> // use_awaitable
+
 #include <spdlog/fmt/fmt.h> // format
 #include <spdlog/spdlog.h>  // warn
 
 #include <rhubarbgrade/detail/base/hash.hpp>              // hash64
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // admit
+#include <rhubarbgrade/detail/routing/hedge.hpp>          // may_hedge
 #include <rhubarbgrade/detail/routing/planned_stop.hpp>   // may_begin
 #include <rhubarbgrade/detail/routing/repeat.hpp>         // may_repeat
 
+#include "../store/spawn.hpp" // spawn
+
 namespace rhubarbgrade
 {
 
@@ -24,6 +30,8 @@
 namespace
 {
 
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
 constexpr unsigned http_1_1 = 11;
 
 constexpr unsigned unauthorized = 401;
@@ -158,6 +166,7 @@
       m_latest_end(m_started),
       m_deadline_timer(context.executor),
       m_writer(m_session->socket(), m_request.version() >= http_1_1),
+      m_race_timer(context.executor),
       m_version_draw(draw_uniform(context.random))
 {
 }
@@ -166,8 +175,7 @@
 {
     m_disconnected = true;
     ++m_context.counters.disconnected;
-    if (m_attempt)
-        m_attempt->cancel();
+    cancel_attempts();
 }
 
 void caller_exchange::limit_deadline()
@@ -197,8 +205,7 @@
             if (fault || !self)
                 return;
             self->m_deadline_passed = true;
-            if (self->m_attempt)
-                self->m_attempt->cancel();
+            self->cancel_attempts();
             if (self->m_writer.begun())
                 self->m_session->abort();
         });
@@ -332,7 +339,7 @@
     m_reserved_tokens = 0;
 }
 
-asio::awaitable<endpoint_ptr_t> caller_exchange::wait_for_endpoint()
+endpoint_criteria caller_exchange::make_criteria() const
 {
     endpoint_criteria criteria;
     criteria.service = m_service;
@@ -342,6 +349,12 @@
     criteria.version_draw = m_version_draw;
     criteria.repeatable = m_route->kind == call_kind::idempotent;
     criteria.objective = m_route->objective;
+    return criteria;
+}
+
+asio::awaitable<endpoint_ptr_t> caller_exchange::wait_for_endpoint()
+{
+    const auto criteria = make_criteria();
     const auto until =
         std::min(m_deadline, m_started + m_route->objective / wait_divisor);
     for (;;)
@@ -460,28 +473,204 @@
     return (m_head.answer_tokens_limit + per_event - 1) / per_event;
 }
 
-asio::awaitable<attempt_report>
-caller_exchange::attempt(endpoint_ptr_t endpoint)
+caller_exchange::running_attempt_ptr_t
+caller_exchange::start_attempt(endpoint_ptr_t endpoint)
 {
     m_tried.push_back(endpoint);
     endpoint_directory::count_request(*endpoint, time_point_t::clock::now());
     ++endpoint->in_flight;
     endpoint->prompt_tokens_waiting += m_head.prompt_tokens;
-    m_attempt = std::make_shared<endpoint_attempt>(m_context.directory,
-                                                   endpoint, m_writer);
+    const auto started = std::make_shared<running_attempt>();
+    started->exchange = std::make_shared<endpoint_attempt>(m_context.directory,
+                                                           endpoint, m_writer);
+    started->endpoint = std::move(endpoint);
+    m_attempts.push_back(started);
+    return started;
+}
+
+asio::awaitable<void>
+caller_exchange::run_attempt(running_attempt_ptr_t attempt)
+{
+    // A cancelled attempt may end after the request.
+    const auto self = shared_from_this();
+    const auto endpoint = attempt->endpoint;
     const bool repeatable =
         m_route->kind == call_kind::idempotent || m_route->resumable;
-    const attempt_params params{
-        m_request,   make_forward_head(*endpoint),
-        m_head.id,   m_route->kind == call_kind::stream,
-        repeatable,  m_request.keep_alive() && !m_context.stopping,
-        max_events()};
-    auto report = co_await m_attempt->run(params);
-    m_attempt.reset();
+    const attempt_params params{m_request,
+                                make_forward_head(*endpoint),
+                                m_head.id,
+                                m_route->kind == call_kind::stream,
+                                repeatable,
+                                m_request.keep_alive() && !m_context.stopping,
+                                max_events(),
+                                [this, &attempt]
+                                {
+                                    if (attempt->outrun)
+                                        return false;
+                                    outrun_others(*attempt);
+                                    return true;
+                                }};
+    auto report = co_await attempt->exchange->run(params);
+    attempt->report = std::move(report);
+    std::erase(m_attempts, attempt);
     --endpoint->in_flight;
     endpoint->prompt_tokens_waiting -= m_head.prompt_tokens;
     m_context.wait_queue.wake(m_service);
-    co_return report;
+    m_race_timer.cancel();
+}
+
+void caller_exchange::cancel_attempts()
+{
+    for (const auto& each : m_attempts)
+        each->exchange->cancel();
+}
+
+void caller_exchange::outrun_others(const running_attempt& winner)
+{
+    for (const auto& each : m_attempts)
+    {
+        if (each.get() == &winner)
+            continue;
+        each->outrun = true;
+        each->exchange->cancel();
+    }
+}
+
+asio::awaitable<caller_exchange::running_attempt_ptr_t>
+caller_exchange::attempt(endpoint_ptr_t endpoint)
+{
+    const auto delay = time_to_hedge();
+    auto first = start_attempt(std::move(endpoint));
+    if (delay)
+        co_return co_await race(first, *delay);
+    co_await run_attempt(first);
+    record_latency(first->report->latency_s, *first->report);
+    co_return first;
+}
+
+void caller_exchange::record_latency(double latency_s,
+                                     const attempt_report& report)
+{
+    constexpr double ms_per_second = 1000;
+    if (may_be_hedged() && report.complete &&
+        report.status < first_server_error)
+        m_context.hedging[m_route->name].latencies.add(
+            milliseconds(std::lround(latency_s * ms_per_second)));
+}
+
+bool caller_exchange::may_be_hedged() const
+{
+    return m_context.hedge.share > 0 && m_route->kind == call_kind::idempotent;
+}
+
+std::optional<milliseconds> caller_exchange::time_to_hedge() const
+{
+    if (!may_be_hedged())
+        return std::nullopt;
+    return hedge_delay(m_context.hedging[m_route->name].latencies);
+}
+
+caller_exchange::running_attempt_ptr_t caller_exchange::start_hedge()
+{
+    const auto now = time_point_t::clock::now();
+    auto& hedging = m_context.hedging[m_route->name];
+    hedge_context question;
+    question.kind = m_route->kind;
+    question.answer_begun = m_writer.begun();
+    question.is_trial = m_is_trial;
+    question.stopping = m_context.stopping;
+    question.host_late = m_context.directory.is_late();
+    question.sends = static_cast<int>(m_tried.size());
+    question.max_runs = m_route->max_attempts;
+    question.left = std::chrono::duration_cast<milliseconds>(m_deadline - now);
+    question.waiting = m_context.wait_queue.waiting(m_service);
+    question.mean_load = m_context.directory.reported_load(m_service, now);
+    question.allowance = hedging.allowance;
+    if (m_disconnected || m_deadline_passed || !may_hedge(question))
+        return nullptr;
+    auto endpoint = m_context.directory.choose(make_criteria(), now);
+    const auto& bounds = m_context.bounds;
+    // The rest is left to retries after failures.
+    const shared_retry_limit limit{bounds.retry_ratio / 2,
+                                   bounds.retry_slack / 2, bounds.retry_window,
+                                   m_context.view->hosts};
+    if (!endpoint || !acquire_retry(m_context.retries[m_service], limit, now))
+        return nullptr;
+    count_hedge(hedging.allowance);
+    ++m_context.counters.hedged;
+    return start_attempt(std::move(endpoint));
+}
+
+caller_exchange::running_attempt_ptr_t
+caller_exchange::decide_race(std::vector<running_attempt_ptr_t>& racers)
+{
+    while (true)
+    {
+        const auto ended = std::find_if(racers.begin(), racers.end(),
+                                        [](const auto& each)
+                                        {
+                                            return each->report || each->outrun;
+                                        });
+        if (ended == racers.end())
+            return nullptr;
+        const auto attempt = *ended;
+        racers.erase(ended);
+        if (attempt->outrun)
+            continue;
+        const auto& report = *attempt->report;
+        const bool answered =
+            report.complete && report.status < first_server_error;
+        const bool last = std::all_of(racers.begin(), racers.end(),
+                                      [](const auto& each)
+                                      {
+                                          return each->outrun;
+                                      });
+        if (answered || last)
+            return attempt;
+        record_attempt(attempt->endpoint, report);
+    }
+}
+
+asio::awaitable<caller_exchange::running_attempt_ptr_t>
+caller_exchange::race(running_attempt_ptr_t first, milliseconds delay)
+{
+    const auto started_at = time_point_t::clock::now();
+    std::vector<running_attempt_ptr_t> racers{first};
+    m_race_timer.expires_at(started_at + delay);
+    spawn(m_context.executor, run_attempt(first), "first attempt");
+    bool hedged = false;
+    for (;;)
+    {
+        if (auto decisive = decide_race(racers))
+        {
+            outrun_others(*decisive);
+            const auto& report = *decisive->report;
+            if (decisive == first)
+                record_latency(report.latency_s, report);
+            else if (first->outrun)
+            {
+                // The first one would have taken longer than this.
+                const std::chrono::duration<double> elapsed =
+                    time_point_t::clock::now() - started_at;
+                record_latency(elapsed.count(), report);
+                ++m_context.counters.hedges_won;
+            }
+            co_return decisive;
+        }
+        if (!hedged && time_point_t::clock::now() >= m_race_timer.expiry())
+        {
+            hedged = true;
+            m_race_timer.expires_at(time_point_t::max());
+            if (auto second = start_hedge())
+            {
+                racers.push_back(second);
+                spawn(m_context.executor, run_attempt(second),
+                      "second attempt");
+                continue; // it may have failed already
+            }
+        }
+        co_await m_race_timer.async_wait(as_values);
+    }
 }
 
 void caller_exchange::record_crash_evidence(const endpoint_ptr_t& endpoint,
@@ -546,8 +735,9 @@
         m_too_late = too_late();
         if (quarantined || m_too_late)
             break;
-        report = co_await attempt(endpoint);
-        record_attempt(endpoint, report);
+        const auto decisive = co_await attempt(endpoint);
+        report = std::move(*decisive->report);
+        record_attempt(decisive->endpoint, report);
         if (m_disconnected || report.forward_failed)
             co_return false;
         const bool success =
@@ -604,6 +794,9 @@
                                  m_context.bounds.retry_slack,
                                  m_context.bounds.retry_window, 1},
                                 time_point_t::clock::now());
+            if (may_be_hedged())
+                count_request(m_context.hedging[m_route->name].allowance,
+                              m_context.hedge);
             complete = co_await serve();
         }
         else
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -60,7 +60,41 @@
     make_forward_head(const pool_endpoint& endpoint) const;
     /// Events that the request's token limit allows; empty if it has none.
     std::optional<std::uint64_t> max_events() const;
-    boost::asio::awaitable<attempt_report> attempt(endpoint_ptr_t endpoint);
+    /// One attempt of the request. Two run at once if the request is hedged.
+    struct running_attempt
+    {
+        endpoint_ptr_t endpoint;
+        std::shared_ptr<endpoint_attempt> exchange;
+        std::optional<attempt_report> report; ///< once it has ended
+        bool outrun = false; ///< cancelled, as another one has answered
+    };
+    using running_attempt_ptr_t = std::shared_ptr<running_attempt>;
+
+    endpoint_criteria make_criteria() const;
+    /// Sends the request to an endpoint and, if it is hedged, to a second one.
+    /// @return the attempt that decides
+    boost::asio::awaitable<running_attempt_ptr_t>
+    attempt(endpoint_ptr_t endpoint);
+    running_attempt_ptr_t start_attempt(endpoint_ptr_t endpoint);
+    boost::asio::awaitable<void> run_attempt(running_attempt_ptr_t attempt);
+    void cancel_attempts();
+    /// Cancels all other attempts.
+    void outrun_others(const running_attempt& winner);
+    /// Runs a first attempt, and a second one if the answer is late.
+    boost::asio::awaitable<running_attempt_ptr_t>
+    race(running_attempt_ptr_t first, milliseconds delay);
+    /// The attempt that ends a race, if one does; records failures of others.
+    running_attempt_ptr_t
+    decide_race(std::vector<running_attempt_ptr_t>& racers);
+    /// @return null if there is no second attempt
+    running_attempt_ptr_t start_hedge();
+    /// Whether requests of the route are hedged at all.
+    bool may_be_hedged() const;
+    /// Time after which the request may be hedged, if that can be told.
+    std::optional<milliseconds> time_to_hedge() const;
+    /// Records the latency of a first attempt, or a lower bound of it.
+    /// @param[in] report  of the attempt that has answered
+    void record_latency(double latency_s, const attempt_report& report);
     void record_attempt(const endpoint_ptr_t& endpoint,
                         const attempt_report& report);
     boost::asio::awaitable<bool> finish(attempt_report report);
@@ -100,7 +134,8 @@
     time_point_t m_latest_end; ///< m_deadline without a planned stop
     boost::asio::steady_timer m_deadline_timer;
     response_writer m_writer;
-    std::shared_ptr<endpoint_attempt> m_attempt;
+    std::vector<running_attempt_ptr_t> m_attempts; ///< running
+    boost::asio::steady_timer m_race_timer; ///< of the hedge; wakes the race
     std::vector<endpoint_ptr_t> m_tried;
     double m_version_draw; ///< see endpoint_criteria
     /// Set if all endpoints have used up their request limits or are saturated.
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -55,6 +55,10 @@
 /// to the endpoint.
 constexpr milliseconds path_check_interval{100};
 
+/// Time in which an endpoint's refusal of a connection arrives, also at a host
+/// that is late. What takes longer may be the host's own delay.
+constexpr milliseconds longest_refusal{300};
+
 constexpr unsigned misdirected = 421;
 
 bool is_success(unsigned status)
@@ -190,6 +194,8 @@
         // caller can be told that the endpoint failed.
         if (keep_buffering)
             co_return false;
+        if (!params.claim_answer())
+            co_return false;
         if (!co_await m_writer.begin(report.status, report.fields,
                                      params.is_event_stream, params.keep_alive))
             co_return false;
@@ -214,7 +220,8 @@
         const auto [fault, count] = co_await http::async_read_some(
             m_link->socket, m_link->buffer, parser, as_values);
         const bool buffer_full = fault == http::error::need_buffer;
-        if (fault && !buffer_full)
+        // What had arrived before a cancellation must not reach the caller.
+        if ((fault && !buffer_full) || m_cancelled)
             co_return;
         const auto received = chunk.size() - body.size;
         m_directory.count_bytes(received);
@@ -277,13 +284,16 @@
 asio::awaitable<attempt_report> endpoint_attempt::run(attempt_params params)
 {
     const auto self = shared_from_this();
+    const auto started_at = time_point_t::clock::now();
     auto report = co_await exchange(params);
     m_path_timer.reset();
+    const bool waited =
+        time_point_t::clock::now() - started_at >= longest_refusal;
     if (!report.complete && !m_relayed)
         report.path_failed =
             m_directory.is_cut(m_endpoint->entry.service) ||
             (report.outcome == attempt_outcome::not_sent &&
-             (m_directory.is_late() ||
+             ((waited && m_directory.is_late()) ||
               m_directory.may_be_cut(m_endpoint->entry.service)));
     co_return report;
 }
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -56,6 +56,9 @@
     bool keep_alive = true;  ///< for the header sent to the caller
     /// Events of the whole stream that the request allows, if known.
     std::optional<std::uint64_t> max_events;
+    /// Asked before the first byte of an answer goes to the caller, unless the
+    /// answer is returned whole. False if another attempt has answered.
+    std::function<bool()> claim_answer;
 };
 
 /// @brief Sends a request to one endpoint and forwards its response.
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -354,6 +354,17 @@
     return found == m_view->splits.end() ? nullptr : &found->second;
 }
 
+double endpoint_directory::reported_load(std::string_view service,
+                                         time_point_t now) const
+{
+    mean_load mean;
+    const auto pool = m_by_service.find(service);
+    if (pool != m_by_service.end())
+        for (const auto& each : pool->second)
+            mean.add(each->load, now);
+    return mean.value();
+}
+
 bool endpoint_directory::serves(std::string_view service) const
 {
     return m_by_service.find(service) != m_by_service.end();
--- a/src/gateway/endpoint_directory.hpp
+++ b/src/gateway/endpoint_directory.hpp
@@ -88,6 +88,10 @@
     std::optional<milliseconds> capacity_wait(const endpoint_criteria& criteria,
                                               time_point_t now) const;
 
+    /// @brief Mean load of the service's endpoints for each of their slots, by
+    ///        their reports; 0 if none has come lately.
+    double reported_load(std::string_view service, time_point_t now) const;
+
     /// @brief Whether any endpoint of the service is known.
     bool serves(std::string_view service) const;
 
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbgrade/detail/fleet/fleet_view.hpp>     // fleet_view_ptr_t
 #include <rhubarbgrade/detail/fleet/node_settings.hpp>  // node_settings
 #include <rhubarbgrade/detail/routing/choose.hpp>       // random_source_t
+#include <rhubarbgrade/detail/routing/hedge.hpp>        // hedge_limit
 #include <rhubarbgrade/detail/routing/planned_stop.hpp> // planned_stop
 #include <rhubarbgrade/detail/routing/shared_retry.hpp> // retry_counts
 
@@ -45,6 +46,8 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     std::uint64_t retried = 0;
+    std::uint64_t hedged = 0;       ///< sent to a second endpoint, being late
+    std::uint64_t hedges_won = 0;   ///< of these, answered by the second one
     std::uint64_t disconnected = 0; ///< by the caller, before the end
     // Refusals by cause.
     std::uint64_t exhausted = 0;   ///< the budget is used up
@@ -90,7 +93,9 @@
     wallet_table wallets;
     endpoint_wait_queue wait_queue;
     std::function<void(const version_sample&)> on_sample;
-    std::map<std::string, retry_counts, std::less<>> retries; ///< by service
+    std::map<std::string, retry_counts, std::less<>> retries;  ///< by service
+    hedge_limit hedge;                                         ///< constant
+    std::map<std::string, route_hedging, std::less<>> hedging; ///< by route
     /// Number of the last trial made with a quarantined suspect, by its id.
     std::map<std::uint64_t, int> trials;
     traffic_counters counters;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -70,7 +70,8 @@
 } // namespace
 
 traffic_loop::traffic_loop(asio::io_context& loop,
-                           const node_settings& settings, control_port control)
+                           const node_settings& settings, hedge_limit hedging,
+                           control_port control)
     : m_loop(loop),
       m_settings(settings),
       m_control(std::move(control)),
@@ -106,6 +107,7 @@
       m_readiness_acceptor(loop),
       m_relay_acceptor(loop)
 {
+    m_context.hedge = hedging;
 }
 
 void traffic_loop::listen(tcp_t::acceptor& acceptor_socket,
@@ -275,14 +277,15 @@
                  "retried={} disconnected={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
                  "no_capacity={} no_path={} relayed={} in_flight={} "
-                 "load_unreadable={}",
+                 "load_unreadable={} hedged={} hedges_won={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
                  counters.no_draws, counters.no_endpoint, counters.quarantined,
                  counters.no_capacity, counters.no_path,
                  m_context.relays.size(), m_context.in_flight,
-                 m_context.directory.unreadable_loads());
+                 m_context.directory.unreadable_loads(), counters.hedged,
+                 counters.hedges_won);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -45,7 +45,7 @@
 {
 public:
     traffic_loop(boost::asio::io_context& loop, const node_settings& settings,
-                 control_port control);
+                 hedge_limit hedging, control_port control);
 
     /// @brief Listens on the addresses of the settings.
     /// @throw boost::system::system_error if an address can't be bound
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,10 +20,10 @@
 
 struct node::implementation
 {
-    explicit implementation(node_settings initial_settings)
+    implementation(node_settings initial_settings, hedge_limit hedging)
         : settings(std::move(initial_settings)),
           control(control_io, settings, random_hex(), make_traffic_callbacks()),
-          traffic(traffic_io, settings, make_control_callbacks())
+          traffic(traffic_io, settings, hedging, make_control_callbacks())
     {
     }
 
@@ -133,8 +133,9 @@
     traffic_loop traffic;
 };
 
-node::node(node_settings settings)
-    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+node::node(node_settings settings, hedge_limit hedging)
+    : m_implementation(
+          std::make_unique<implementation>(std::move(settings), hedging))
 {
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -4,6 +4,7 @@
 #include <memory>  // unique_ptr
 
 #include <rhubarbgrade/detail/fleet/node_settings.hpp> // node_settings
+#include <rhubarbgrade/detail/routing/hedge.hpp>       // hedge_limit
 
 namespace rhubarbgrade
 {
@@ -27,7 +28,7 @@
 public:
     /// @brief Binds the address for peers.
     /// @throw std::exception if it can't be bound
-    explicit node(node_settings settings);
+    explicit node(node_settings settings, hedge_limit hedging = {});
 
     ~node();
 
--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -295,13 +295,14 @@
 
     /// Starts a host and waits until it is ready.
     void start_host(const std::string& name,
-                    const std::string& bounds = "graceS = 8", int view = 0)
+                    const std::string& bounds = "graceS = 8", int view = 0,
+                    const std::vector<std::string>& options = {})
     {
         const auto path = write_settings(name, bounds, view);
-        m_hosts[name] = std::make_unique<process>(
-            std::vector<std::string>{build_folder() + "/rhubarbgrade_node",
-                                     path},
-            log_path(name));
+        std::vector<std::string> command{build_folder() + "/rhubarbgrade_node"};
+        command.insert(command.end(), options.begin(), options.end());
+        command.push_back(path);
+        m_hosts[name] = std::make_unique<process>(command, log_path(name));
         REQUIRE(wait_until(
             [&]
             {
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -53,6 +53,10 @@
     CHECK(good.settings.relay == socket_address{"10.1.0.4", 7341});
     CHECK(good.settings.bounds.drain == milliseconds(2500));
     CHECK(good.settings.bounds.grace == milliseconds(9000));
+    CHECK(good.hedging.share == 0);
+    CHECK(platform::decode_settings(std::string(good_settings) +
+                                    "[hedging]\nshare = 0.05\n")
+              .hedging.share == 0.05);
     const auto bad = platform::decode_settings(
         "zone = 3\n[listen]\nfront = \"x:99999\"\n[bounds]\ngraceS = \"a\"\n");
     CHECK(bad.faults.size() >= 5);
