--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -480,7 +480,7 @@
     endpoint_directory::count_request(*endpoint, time_point_t::clock::now());
     ++endpoint->in_flight;
     endpoint->prompt_tokens_waiting += m_head.prompt_tokens;
-    const auto started = std::make_shared<running_attempt>();
+    auto started = std::make_shared<running_attempt>();
     started->exchange = std::make_shared<endpoint_attempt>(m_context.directory,
                                                            endpoint, m_writer);
     started->endpoint = std::move(endpoint);
@@ -512,6 +512,7 @@
                                 }};
     auto report = co_await attempt->exchange->run(params);
     attempt->report = std::move(report);
+    attempt->ended = true;
     std::erase(m_attempts, attempt);
     --endpoint->in_flight;
     endpoint->prompt_tokens_waiting -= m_head.prompt_tokens;
@@ -544,7 +545,7 @@
     if (delay)
         co_return co_await race(first, *delay);
     co_await run_attempt(first);
-    record_latency(first->report->latency_s, *first->report);
+    record_latency(first->report.latency_s, first->report);
     co_return first;
 }
 
@@ -609,15 +610,15 @@
         const auto ended = std::find_if(racers.begin(), racers.end(),
                                         [](const auto& each)
                                         {
-                                            return each->report || each->outrun;
+                                            return each->ended || each->outrun;
                                         });
         if (ended == racers.end())
             return nullptr;
-        const auto attempt = *ended;
+        auto attempt = *ended;
         racers.erase(ended);
         if (attempt->outrun)
             continue;
-        const auto& report = *attempt->report;
+        const auto& report = attempt->report;
         const bool answered =
             report.complete && report.status < first_server_error;
         const bool last = std::all_of(racers.begin(), racers.end(),
@@ -644,7 +645,7 @@
         if (auto decisive = decide_race(racers))
         {
             outrun_others(*decisive);
-            const auto& report = *decisive->report;
+            const auto& report = decisive->report;
             if (decisive == first)
                 record_latency(report.latency_s, report);
             else if (first->outrun)
@@ -736,7 +737,7 @@
         if (quarantined || m_too_late)
             break;
         const auto decisive = co_await attempt(endpoint);
-        report = std::move(*decisive->report);
+        report = std::move(decisive->report);
         record_attempt(decisive->endpoint, report);
         if (m_disconnected || report.forward_failed)
             co_return false;
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -65,8 +65,9 @@
     {
         endpoint_ptr_t endpoint;
         std::shared_ptr<endpoint_attempt> exchange;
-        std::optional<attempt_report> report; ///< once it has ended
-        bool outrun = false; ///< cancelled, as another one has answered
+        bool ended = false;
+        attempt_report report; ///< once it has ended
+        bool outrun = false;   ///< cancelled, as another one has answered
     };
     using running_attempt_ptr_t = std::shared_ptr<running_attempt>;
 
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -720,8 +720,8 @@
     endpoint_link_ptr_t link;
     time_point_t started = time_point_t::clock::now();
     asio::steady_timer timer; ///< of the wait, then of the connection
-    /// Set when the connection has opened or failed.
-    std::optional<boost::system::error_code> result;
+    bool ended = false;       ///< has opened or failed
+    boost::system::error_code fault;
     bool abandoned = false; ///< nobody waits any more
     /// The wait ended while the host was late: whether the endpoint answers
     /// shows when the connection ends.
@@ -739,18 +739,18 @@
         *address,
         [this, pending](const boost::system::error_code& fault)
         {
-            if (!pending->result)
+            if (!pending->ended)
                 end_opening(*pending, fault);
         });
     pending->timer.expires_after(connect_timeout);
     co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (!pending->result)
+    if (!pending->ended)
     {
         abandon(pending);
         co_return open_result{};
     }
-    if (*pending->result)
-        co_return open_result{nullptr, *pending->result ==
+    if (pending->fault)
+        co_return open_result{nullptr, pending->fault ==
                                            asio::error::connection_refused};
     co_return open_result{std::move(pending->link), false};
 }
@@ -776,7 +776,7 @@
     pending->timer.async_wait(
         [give_up, pending](auto fault)
         {
-            if (!fault && !pending->result)
+            if (!fault && !pending->ended)
                 give_up(*pending);
         });
 }
@@ -785,7 +785,8 @@
                                      const boost::system::error_code& fault)
 {
     const auto now = time_point_t::clock::now();
-    pending.result = fault;
+    pending.ended = true;
+    pending.fault = fault;
     pending.timer.cancel();
     if (!fault)
     {
