--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // any_of, count_if, find, max, min
 #include <cmath>     // exp
 #include <iterator>  // distance
-#include <memory>    // make_shared, weak_ptr
+#include <memory>    // make_shared
 #include <utility>   // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
@@ -28,9 +28,9 @@
 namespace
 {
 
-/// Time-out of a new connection: several round trips to the farthest zone of a
-/// region (3 ms each) and time for a busy endpoint. It does not cover a lost
-/// packet, whose retransmission takes a second.
+/// Time for which a request waits for a new connection: several round trips to
+/// the farthest zone of a region (3 ms each) and time for a busy endpoint. It
+/// does not cover a lost packet, whose retransmission takes a second.
 constexpr milliseconds connect_timeout{400};
 
 /// Longest idle time of a connection that is reused for a request that must not
@@ -68,10 +68,8 @@
 /// Weight of the newest result in the moving average of the failure rate.
 constexpr double failure_weight = 0.12;
 
-/// Time constant, in seconds, of the exponential decay of a reported load.
-constexpr double load_decay_s = 1.0;
-
-/// The same for a reported queue, which takes longer to be worked off.
+/// Time constant, in seconds, of the exponential decay of a reported queue,
+/// which takes longer to be worked off than the load.
 constexpr double queue_decay_s = 2.0;
 
 /// Waiting requests, as reported, from which a brittle engine gets no more.
@@ -204,9 +202,9 @@
     // The other hosts are assumed to have as many there.
     const auto own_share = static_cast<double>(delayed) *
                            static_cast<double>(std::max<std::size_t>(1, hosts));
-    return {std::max(own_share,
-                     endpoint.reported_waiting * decay(endpoint.reported_at)),
-            wait};
+    return {
+        std::max(own_share, endpoint.load.waiting * decay(endpoint.load.at)),
+        wait};
 }
 
 /// Idle time from which a connection is no longer reused.
@@ -405,6 +403,17 @@
     return found == m_view->splits.end() ? nullptr : &found->second;
 }
 
+double endpoint_directory::reported_load(std::string_view service,
+                                         time_point_t now) const
+{
+    mean_load mean;
+    const auto pool = m_by_service.find(service);
+    if (pool != m_by_service.end())
+        for (const auto& each : pool->second)
+            mean.add(each->load, now);
+    return mean.value();
+}
+
 bool endpoint_directory::serves(std::string_view service) const
 {
     return m_by_service.find(service) != m_by_service.end();
@@ -432,15 +441,17 @@
     std::vector<placing_candidate> candidates;
     candidates.reserve(pool.size());
     const bool engine = has_engine(criteria.service);
+    mean_load mean;
+    for (const auto& each : pool)
+        mean.add(each->load, now);
     for (const auto& each : pool)
     {
         placing_candidate candidate_state;
         candidate_state.identity = each->identity;
         candidate_state.same_zone = each->entry.zone == m_zone;
         candidate_state.in_flight = each->in_flight;
-        const std::chrono::duration<double> age = now - each->reported_at;
         candidate_state.reported_load =
-            each->reported_load * std::exp(-age.count() / load_decay_s);
+            expected_load(each->load, mean.value(), now);
         if (engine)
             candidate_state.queue =
                 queue_of(*each, criteria, m_view->hosts, now);
@@ -746,30 +757,119 @@
     }
 }
 
+struct endpoint_directory::opening
+{
+    opening(const asio::any_io_executor& executor, endpoint_ptr_t with_endpoint)
+        : endpoint(std::move(with_endpoint)),
+          link(std::make_shared<endpoint_link>(executor)),
+          timer(executor)
+    {
+    }
+
+    endpoint_ptr_t endpoint;
+    endpoint_link_ptr_t link;
+    time_point_t started = time_point_t::clock::now();
+    asio::steady_timer timer; ///< of the wait, then of the connection
+    bool ended = false;       ///< has opened or failed
+    boost::system::error_code fault;
+    bool abandoned = false; ///< nobody waits any more
+    /// The wait ended while the host was late: whether the endpoint answers
+    /// shows when the connection ends.
+    bool undecided = false;
+};
+
 asio::awaitable<open_result>
 endpoint_directory::open_direct(endpoint_ptr_t endpoint)
 {
     const auto address = to_endpoint(endpoint->entry.address);
     if (!address)
         co_return open_result{};
-    auto link = std::make_shared<endpoint_link>(m_executor);
-    asio::steady_timer connect_timer(m_executor, connect_timeout);
-    connect_timer.async_wait(
-        [weak = std::weak_ptr(link)](auto fault)
+    const auto pending = std::make_shared<opening>(m_executor, endpoint);
+    pending->link->socket.async_connect(
+        *address,
+        [this, pending](const boost::system::error_code& fault)
         {
-            boost::system::error_code ignored; // the connect is cancelled
-            if (const auto pending_link = weak.lock(); pending_link && !fault)
-                pending_link->socket.close(ignored);
+            if (!pending->ended)
+                end_opening(*pending, fault);
         });
-    const auto [fault] = co_await link->socket.async_connect(
-        *address, asio::as_tuple(asio::use_awaitable));
-    const bool in_time = connect_timer.cancel() != 0;
-    record_open_result(*endpoint, in_time && !fault);
-    if (!in_time || fault)
-        co_return open_result{nullptr,
-                              fault == asio::error::connection_refused};
-    set_tcp_options(link->socket);
-    co_return open_result{std::move(link), false};
+    pending->timer.expires_after(connect_timeout);
+    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!pending->ended)
+    {
+        abandon(pending);
+        co_return open_result{};
+    }
+    if (pending->fault)
+        co_return open_result{nullptr, pending->fault ==
+                                           asio::error::connection_refused};
+    co_return open_result{std::move(pending->link), false};
+}
+
+void endpoint_directory::abandon(const std::shared_ptr<opening>& pending)
+{
+    pending->abandoned = true;
+    pending->undecided = m_host_load.late;
+    const auto silence = std::chrono::duration_cast<milliseconds>(
+        time_point_t::clock::now() -
+        m_paths[pending->endpoint->entry.service].last_byte);
+    const auto limit =
+        pending->started + connect_evidence_time(m_host_load, silence);
+    const auto give_up = [this](opening& late)
+    {
+        end_opening(late, asio::error::timed_out);
+        boost::system::error_code ignored; // the connect is cancelled
+        late.link->socket.close(ignored);
+    };
+    if (time_point_t::clock::now() >= limit)
+        return give_up(*pending);
+    pending->timer.expires_at(limit);
+    pending->timer.async_wait(
+        [give_up, pending](auto fault)
+        {
+            if (!fault && !pending->ended)
+                give_up(*pending);
+        });
+}
+
+void endpoint_directory::end_opening(opening& pending,
+                                     const boost::system::error_code& fault)
+{
+    const auto now = time_point_t::clock::now();
+    pending.ended = true;
+    pending.fault = fault;
+    pending.timer.cancel();
+    if (!fault)
+    {
+        m_connect_time = std::max(
+            m_connect_time,
+            std::chrono::duration_cast<milliseconds>(now - pending.started));
+        set_tcp_options(pending.link->socket);
+    }
+    record_open_result(*pending.endpoint, !fault);
+    if (!pending.abandoned)
+        return;
+    if (!fault)
+        return_connection(*pending.endpoint, std::move(pending.link), now);
+    else if (pending.undecided && !may_be_cut(pending.endpoint->entry.service))
+        record_result(*pending.endpoint, false, now);
+}
+
+void endpoint_directory::record_host_sample(milliseconds loop_delay,
+                                            double link_mbps, time_point_t now)
+{
+    constexpr double megabit_bytes = 125000;
+    const std::chrono::duration<double> interval = now - m_sampled_at;
+    const auto bytes = static_cast<double>(std::exchange(m_bytes, 0));
+    const host_sample sample{
+        loop_delay, std::exchange(m_connect_time, milliseconds(0)),
+        bytes / (link_mbps * megabit_bytes * std::max(1e-3, interval.count()))};
+    m_sampled_at = now;
+    if (record_sample(m_host_load, sample, now))
+        spdlog::info(
+            "event={} loop_delay_ms={} connect_ms={} link_share={:.2f}",
+            m_host_load.late ? "host_late" : "host_in_time",
+            sample.loop_delay.count(), sample.connect_time.count(),
+            sample.link_share);
 }
 
 void endpoint_directory::return_connection(pool_endpoint& endpoint,
@@ -832,12 +932,17 @@
                                      const platform::response_head& head,
                                      time_point_t now)
 {
+    if (head.load_unreadable && m_unreadable_loads++ == 0)
+        spdlog::warn("event=load_unreadable service={} endpoint={}",
+                     endpoint.entry.service, endpoint.entry.id);
     if (head.running < 0)
         return;
-    endpoint.reported_load = static_cast<double>(head.running + head.waiting) /
-                             std::max(1, head.slots);
-    endpoint.reported_waiting = head.waiting;
-    endpoint.reported_at = now;
+    constexpr double percent = 100;
+    record_report(endpoint.load,
+                  static_cast<double>(head.running + head.waiting) /
+                      std::max(1, head.slots),
+                  head.waiting, head.pace_percent.value_or(percent) / percent,
+                  now);
 }
 
 void endpoint_directory::record_limit(pool_endpoint& endpoint,
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -79,7 +79,8 @@
 } // namespace
 
 traffic_loop::traffic_loop(asio::io_context& loop,
-                           const node_settings& settings, control_port control)
+                           const node_settings& settings, hedge_limit hedging,
+                           control_port control)
     : m_loop(loop),
       m_settings(settings),
       m_control(std::move(control)),
@@ -115,6 +116,7 @@
       m_readiness_acceptor(loop),
       m_relay_acceptor(loop)
 {
+    m_context.hedge = hedging;
 }
 
 void traffic_loop::listen(tcp_t::acceptor& acceptor_socket,
@@ -330,7 +332,8 @@
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
                  "no_capacity={} no_path={} no_room={} relayed={} "
                  "in_flight={} connections={} held_kb={} shed={} "
-                 "evacuated_in_flight={}",
+                 "evacuated_in_flight={} load_unreadable={} hedged={} "
+                 "hedges_won={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
                  counters.exhausted, counters.undrawn, counters.unconfirmed,
@@ -340,7 +343,9 @@
                  m_context.sessions.size(),
                  m_context.callers.held().bytes / bytes_per_kb,
                  m_context.callers.shed_count(),
-                 m_context.directory.evacuated_in_flight());
+                 m_context.directory.evacuated_in_flight(),
+                 m_context.directory.unreadable_loads(), counters.hedged,
+                 counters.hedges_won);
 }
 
 asio::awaitable<void> traffic_loop::report_periodically()
@@ -351,9 +356,13 @@
     {
         timer.expires_after(report_interval);
         co_await timer.async_wait(as_values);
-        if (const auto now = time_point_t::clock::now(); now >= next_log)
+        const auto woken_at = time_point_t::clock::now();
+        m_context.directory.record_host_sample(
+            std::chrono::duration_cast<milliseconds>(woken_at - timer.expiry()),
+            m_settings.link_mbps, woken_at);
+        if (woken_at >= next_log)
         {
-            next_log = now + log_interval;
+            next_log = woken_at + log_interval;
             log_counters();
         }
         m_context.directory.close_idle_connections(time_point_t::clock::now());
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -58,6 +58,10 @@
                                                    "\nevacuateMs = 4000\n");
     CHECK(bounded.faults.empty());
     CHECK(bounded.settings.bounds.evacuate == milliseconds(4000));
+    CHECK(good.hedging.share == 0);
+    CHECK(platform::decode_settings(std::string(good_settings) +
+                                    "[hedging]\nshare = 0.05\n")
+              .hedging.share == 0.05);
     const auto bad = platform::decode_settings(
         "zone = 3\n[listen]\nfront = \"x:99999\"\n[bounds]\ngraceS = \"a\"\n");
     CHECK(bad.faults.size() >= 5);
