Settings: a share of hedged requests above 1 is refused

Cause: hedging.share was checked to be a number of at least 0 only; the command line refused more than 1, the settings file took it.

Result: unit-adapter, not run yet.

--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -62,6 +62,10 @@
     CHECK(platform::decode_settings(std::string(good_settings) +
                                     "[hedging]\nshare = 0.05\n")
               .hedging.share == 0.05);
+    const auto above_one = platform::decode_settings(
+        std::string(good_settings) + "[hedging]\nshare = 5\n");
+    CHECK(above_one.faults.size() == 1);
+    CHECK(above_one.hedging.share == 0);
     const auto bad = platform::decode_settings(
         "zone = 3\n[listen]\nfront = \"x:99999\"\n[bounds]\ngraceS = \"a\"\n");
     CHECK(bad.faults.size() >= 5);
