Fixes of the review; holdings are sized as before

Hosts that don't watch evacuations confirmed them to others.

The buffer is kept while a read is pending; a whole answer is counted beyond the limit; the first whole answer below 500 ends the race at once; the hash holds the zones.

The other fixes: unit-caller-budget states the count beyond limits; not run yet.

--- a/include/rhubarbgrade/detail/escrow/escrow.hpp
+++ b/include/rhubarbgrade/detail/escrow/escrow.hpp
@@ -153,26 +153,20 @@
 struct escrow_policy
 {
     double max_holding_s = 14;   ///< upper bound of a holding, seconds of use
+    double min_holding_s = 3;    ///< lower bound while the budget has tokens
     double undrawn_share = 0.35; ///< of the undrawn tokens; limit for all hosts
-    /// Seconds of the fleet's use that are undrawn, below which the limit for
-    /// all hosts falls faster than the undrawn tokens.
-    double scarce_s = 10;
-    double low_watermark = 0.65;    ///< of the target; below it the host draws
+    double low_watermark = 0.65; ///< of the target; below it the host draws
     double refill_watermark = 0.85; ///< of the target; below it a customer is
                                     ///< included in a write that is made anyway
     double high_watermark = 2.2;    ///< of the target; above it tokens return
-    /// The same for a target that is short because the budget is nearly used.
-    double scarce_high_watermark = 1.25;
-    double idle_share = 0.05; ///< of the budget, held by all idle hosts
-    std::size_t hosts = 1;    ///< that draw on the budgets
+    double idle_share = 0.05;       ///< of the budget, held by all idle hosts
+    std::size_t hosts = 1;          ///< that draw on the budgets
 };
 
 /// @brief The size of a holding, in seconds of the host's use.
 ///
 /// A larger holding bridges a longer outage of the store, but is lost if the
-/// host dies. So the size grows with the tokens left in the budget, and has no
-/// lower bound: what is held ahead of a nearly used budget is missing at the
-/// other hosts.
+/// host dies. So the size grows with the tokens left in the budget.
 /// @param[in] left  undrawn tokens in the store
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy);
--- a/src/escrow/escrow.cpp
+++ b/src/escrow/escrow.cpp
@@ -1,7 +1,6 @@
 #include <rhubarbgrade/detail/escrow/escrow.hpp>
 
-#include <algorithm>   // max, min
-#include <limits>      // numeric_limits
+#include <algorithm>   // clamp, max, min
 #include <string>      // string
 #include <string_view> // string_view
 #include <utility>     // move
@@ -32,34 +31,6 @@
     return static_cast<token_count_t>(std::max(0.0, rate * seconds));
 }
 
-/// How long the undrawn tokens last at the fleet's rate of use, seconds;
-/// infinite if nothing is used.
-double seconds_left(const wallet_state& state, token_count_t left,
-                    const escrow_policy& policy)
-{
-    const auto fleet_rate = std::max(
-        state.fleet_rate > 0 ? state.fleet_rate
-                             : state.rate * static_cast<double>(policy.hosts),
-        state.rate);
-    return fleet_rate > 0 ? static_cast<double>(left) / fleet_rate
-                          : std::numeric_limits<double>::infinity();
-}
-
-/// 1 as long as the undrawn tokens last, less the sooner they are used.
-double plenty(const wallet_state& state, double left_s,
-              const escrow_policy& policy)
-{
-    // The rate of one host tells little of the fleet's.
-    return state.fleet_rate > 0 ? std::min(1.0, left_s / policy.scarce_s) : 1;
-}
-
-/// Part of the undrawn tokens that all hosts together hold ahead of need.
-double share_ahead(const wallet_state& state, double left_s,
-                   const escrow_policy& policy)
-{
-    return policy.undrawn_share * plenty(state, left_s, policy);
-}
-
 /// Closes a holding; tokens drawn above @a spent_at_most return to the budget.
 void close(escrow_book& book, const ended_holding& holding,
            const token_map_t& spent_at_most)
@@ -211,9 +182,15 @@
 double target_seconds(const wallet_state& state, token_count_t left,
                       const escrow_policy& policy)
 {
-    const auto left_s = seconds_left(state, left, policy);
-    return std::min(policy.max_holding_s,
-                    share_ahead(state, left_s, policy) * left_s);
+    const auto fleet_rate = std::max(
+        state.fleet_rate > 0 ? state.fleet_rate
+                             : state.rate * static_cast<double>(policy.hosts),
+        state.rate);
+    if (fleet_rate <= 0)
+        return policy.max_holding_s;
+    return std::clamp(policy.undrawn_share * static_cast<double>(left) /
+                          fleet_rate,
+                      policy.min_holding_s, policy.max_holding_s);
 }
 
 token_count_t desired_holding(const wallet_state& state, token_count_t left,
@@ -222,23 +199,21 @@
 {
     const auto in_use = state.reserved + state.used;
     const auto free = saturating_subtract(state.drawn, in_use);
-    const auto left_s = seconds_left(state, left, policy);
-    const auto hosts =
-        static_cast<double>(std::max<std::size_t>(1, policy.hosts));
-    // Room for two requests, as long as the holdings of all hosts for them stay
-    // within their share of what is left.
-    const auto fair_share = tokens_for(static_cast<double>(left) / hosts,
-                                       share_ahead(state, left_s, policy));
     // Limited by the undrawn tokens, so that idle hosts hold little of a budget
     // that is nearly used up.
-    const auto idle_holding = std::min(
-        fair_share,
-        tokens_for(static_cast<double>(std::min(prepaid, left)) / hosts,
-                   policy.idle_share));
+    const auto idle_holding = static_cast<token_count_t>(
+        static_cast<double>(std::min(prepaid, left)) * policy.idle_share /
+        static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
+    // Room for two requests, as long as the holdings of all hosts for them stay
+    // within their share of what is left.
+    const auto fair_share = static_cast<token_count_t>(
+        static_cast<double>(left) * policy.undrawn_share /
+        static_cast<double>(std::max<std::size_t>(1, policy.hosts)));
     const auto min_target =
         std::max(idle_holding, std::min(fair_share, 2 * state.largest));
-    const auto holding_s = target_seconds(state, left, policy);
-    const auto target = std::max(min_target, tokens_for(state.rate, holding_s));
+    const auto target =
+        std::max(min_target,
+                 tokens_for(state.rate, target_seconds(state, left, policy)));
     const auto threshold = tokens_for(static_cast<double>(target), draw_below);
     if (free < threshold + state.waiting)
     {
@@ -250,12 +225,8 @@
                std::min({saturating_subtract(target + state.waiting, free),
                          max_draw, left});
     }
-    const auto high_watermark =
-        policy.scarce_high_watermark +
-        (policy.high_watermark - policy.scarce_high_watermark) *
-            plenty(state, left_s, policy);
-    if (free >
-        tokens_for(static_cast<double>(target), high_watermark) + state.waiting)
+    if (free > tokens_for(static_cast<double>(target), policy.high_watermark) +
+                   state.waiting)
         return in_use + target;
     return state.drawn;
 }
--- a/src/gateway/answer_writer.cpp
+++ b/src/gateway/answer_writer.cpp
@@ -64,7 +64,7 @@
 asio::awaitable<bool> response_writer::write_complete(caller_response_t message)
 {
     m_begun = true;
-    if (!co_await m_session.begin_write(message.body().size()))
+    if (!co_await m_session.begin_write(message.body().size(), true))
         co_return false;
     const auto [fault, count] =
         co_await http::async_write(m_socket, message, as_values);
@@ -90,7 +90,7 @@
     head.chunked(m_chunked);
     head.keep_alive(keep_alive && m_chunked);
     http::response_serializer<http::empty_body> serializer(head);
-    if (!co_await m_session.begin_write(0))
+    if (!co_await m_session.begin_write(0, false))
         co_return false;
     const auto [fault, count] =
         co_await http::async_write_header(m_socket, serializer, as_values);
@@ -107,7 +107,7 @@
 asio::awaitable<bool> response_writer::write_part(std::string_view bytes)
 {
     const auto buffer = asio::buffer(bytes.data(), bytes.size());
-    if (!co_await m_session.begin_write(bytes.size()))
+    if (!co_await m_session.begin_write(bytes.size(), false))
         co_return false;
     boost::system::error_code fault;
     if (m_close_delimited)
--- a/src/gateway/caller_budget.cpp
+++ b/src/gateway/caller_budget.cpp
@@ -222,6 +222,12 @@
     return hold_result::held;
 }
 
+void caller_budget::add(caller_share& share, const caller_amount& amount)
+{
+    m_shares.insert(&share);
+    set(share, amount);
+}
+
 void caller_budget::remove(caller_share& share)
 {
     if (m_shares.erase(&share) != 0)
--- a/src/gateway/caller_budget.hpp
+++ b/src/gateway/caller_budget.hpp
@@ -83,6 +83,10 @@
     hold_result hold(caller_share& share, const caller_amount& wanted,
                      time_point_t now);
 
+    /// @brief Counts what a connection holds in any case, also beyond the
+    ///        limits; others then find less room.
+    void add(caller_share& share, const caller_amount& amount);
+
     /// @brief Takes back all that a connection has; does nothing for one that
     ///        is not registered.
     void remove(caller_share& share);
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,6 +1,6 @@
 #include "caller_exchange.hpp"
 
-#include <algorithm>   // all_of, find_if, max, min
+#include <algorithm>   // all_of, any_of, find_if, max, min
 #include <chrono>      // duration_cast
 #include <cmath>       // lround
 #include <memory>      // make_shared
@@ -263,6 +263,19 @@
     return refused;
 }
 
+bool caller_exchange::has_quarantined_part() const
+{
+    const auto& quarantined = m_context.view->quarantined;
+    if (quarantined.empty())
+        return false;
+    const auto own = suspects();
+    return std::any_of(own.begin(), own.end(),
+                       [&](const auto& each)
+                       {
+                           return quarantined.contains(each.first);
+                       });
+}
+
 std::optional<local_response> caller_exchange::check_request()
 {
     if (!m_view->configuration)
@@ -496,21 +509,27 @@
     const auto endpoint = attempt->endpoint;
     const bool repeatable =
         m_route->kind == call_kind::idempotent || m_route->resumable;
-    const attempt_params params{m_request,
-                                make_forward_head(*endpoint),
-                                m_head.id,
-                                m_route->kind == call_kind::stream,
-                                repeatable,
-                                m_request.keep_alive() && !m_context.stopping,
-                                max_events(),
-                                [this, &attempt]
-                                {
-                                    if (attempt->outrun)
-                                        return false;
-                                    outrun_others(*attempt);
-                                    return true;
-                                }};
+    const attempt_params params{
+        m_request,
+        make_forward_head(*endpoint),
+        m_head.id,
+        m_route->kind == call_kind::stream,
+        repeatable,
+        m_request.keep_alive() && !m_context.stopping,
+        max_events(),
+        [this, &attempt](unsigned status)
+        {
+            if (attempt->outrun ||
+                (status >= first_server_error && m_attempts.size() > 1))
+                return false;
+            outrun_others(*attempt);
+            return true;
+        }};
     auto report = co_await attempt->exchange->run(params);
+    // From here on no other attempt may begin to answer.
+    if (!attempt->outrun && report.complete &&
+        report.status < first_server_error)
+        outrun_others(*attempt);
     attempt->report = std::move(report);
     attempt->ended = true;
     std::erase(m_attempts, attempt);
@@ -587,7 +606,8 @@
     question.waiting = m_context.wait_queue.waiting(m_service);
     question.mean_load = m_context.directory.reported_load(m_service, now);
     question.allowance = hedging.allowance;
-    if (m_disconnected || m_deadline_passed || !may_hedge(question))
+    if (m_disconnected || m_deadline_passed || has_quarantined_part() ||
+        !may_hedge(question))
         return nullptr;
     auto endpoint = m_context.directory.choose(make_criteria(), now);
     const auto& bounds = m_context.bounds;
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -114,6 +114,8 @@
     /// Whether the request must not be run, unless it is the trial of this
     /// host.
     bool is_quarantined();
+    /// Whether it has a part that is quarantined now.
+    bool has_quarantined_part() const;
     void record_crash_evidence(const endpoint_ptr_t& endpoint,
                                const attempt_report& report);
     /// Releases the reservation; charges the prompt and the events written.
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -214,20 +214,27 @@
 {
     m_request_bytes = 0;
     m_share.sends_ahead = false;
-    if (m_buffer.capacity() > min_input_size)
+    // A read that is under way writes into the buffer.
+    if (!m_read_pending && m_buffer.capacity() > min_input_size)
         m_buffer.shrink_to_fit();
     // Less than before is always granted.
     m_context.callers.hold(m_share, amount(excess(m_buffer.capacity()), 1),
                            time_point_t::clock::now());
 }
 
-asio::awaitable<bool> caller_session::begin_write(std::size_t bytes)
+asio::awaitable<bool> caller_session::begin_write(std::size_t bytes, bool whole)
 {
     enter(caller_stage::answering);
     if (bytes <= read_size)
         co_return true; // a part of what each request has
-    co_return co_await hold(serving_bytes + excess(m_buffer.capacity()) + bytes,
-                            2);
+    const auto extra = serving_bytes + excess(m_buffer.capacity()) + bytes;
+    if (co_await hold(extra, 2))
+        co_return true;
+    if (!whole || m_share.shed)
+        co_return false;
+    // The request has run, and the answer is in memory anyway.
+    m_context.callers.add(m_share, amount(extra, 2));
+    co_return true;
 }
 
 void caller_session::end_write()
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -66,8 +66,10 @@
 
     /// @brief Must be called before a part of an answer is written.
     /// @param[in] bytes  that are kept until it is written
+    /// @param[in] whole  the part is a whole answer, which is written even if
+    ///                   there is no memory left
     /// @return false if there is no memory for them; the answer ends there
-    boost::asio::awaitable<bool> begin_write(std::size_t bytes);
+    boost::asio::awaitable<bool> begin_write(std::size_t bytes, bool whole);
 
     /// @brief Must be called after a part of an answer has been written.
     void end_write();
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -194,7 +194,7 @@
         // caller can be told that the endpoint failed.
         if (keep_buffering)
             co_return false;
-        if (!params.claim_answer())
+        if (!params.claim_answer(report.status))
             co_return false;
         if (!co_await m_writer.begin(report.status, report.fields,
                                      params.is_event_stream, params.keep_alive))
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -58,8 +58,9 @@
     /// Events of the whole stream that the request allows, if known.
     std::optional<std::uint64_t> max_events;
     /// Asked before the first byte of an answer goes to the caller, unless the
-    /// answer is returned whole. False if another attempt has answered.
-    std::function<bool()> claim_answer;
+    /// answer is returned whole, with its status. False if another attempt has
+    /// answered, or may answer better.
+    std::function<bool(unsigned)> claim_answer;
 };
 
 /// @brief Sends a request to one endpoint and forwards its response.
--- a/src/node/member_keeper.cpp
+++ b/src/node/member_keeper.cpp
@@ -81,8 +81,10 @@
 {
     hasher hash;
     hash.add(heartbeat.store_era);
-    hash.add(heartbeat.evacuations.era);
-    hash.add(heartbeat.evacuations.revision);
+    // The revision rises with each change in the store, and is sent anyway.
+    hash.add(heartbeat.evacuations.revision != 0 ? 1 : 0);
+    for (const auto& zone : heartbeat.evacuations.zones)
+        hash.add(zone);
     hash.add(heartbeat.address);
     hash.add(heartbeat.zone);
     hash.add(heartbeat.relay_port);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -863,7 +863,9 @@
     heartbeat.store_failing = m_reader.failing();
     heartbeat.store_answers = m_reader.answered();
     heartbeat.store_era = m_store.era();
-    heartbeat.evacuations = m_evacuations.list;
+    // Without watching them, this host can't confirm them to others.
+    if (uses_evacuations())
+        heartbeat.evacuations = m_evacuations.list;
     return heartbeat;
 }
 
--- a/tests/unit/unit-caller-budget.cpp
+++ b/tests/unit/unit-caller-budget.cpp
@@ -260,6 +260,23 @@
     }
 }
 
+TEST_CASE("what is counted beyond the limits leaves less room for others",
+          "[caller-budget]")
+{
+    caller_budget budget({100 * kb, 10});
+    const time_point_t now{};
+    caller_share answering;
+    caller_share reading;
+    reading.stage = caller_stage::reading;
+    CHECK(budget.hold(answering, {40 * kb, 1}, now) == hold_result::held);
+    budget.add(answering, {120 * kb, 2});
+    CHECK(budget.held() == caller_amount{120 * kb, 2});
+    CHECK(budget.hold(reading, {kb, 1}, now) == hold_result::refused);
+    budget.remove(answering);
+    CHECK(budget.held() == caller_amount{});
+    CHECK(budget.hold(reading, {kb, 1}, now) == hold_result::held);
+}
+
 TEST_CASE("callers get a part of any machine", "[caller-budget]")
 {
     node_settings settings;
