--- a/tests/unit/unit-caller-budget.cpp
+++ b/tests/unit/unit-caller-budget.cpp
@@ -266,6 +266,8 @@
     caller_budget budget({100 * kb, 10});
     const time_point_t now{};
     caller_share answering;
+    answering.stage = caller_stage::answering;
+    answering.last_progress = now;
     caller_share reading;
     reading.stage = caller_stage::reading;
     CHECK(budget.hold(answering, {40 * kb, 1}, now) == hold_result::held);
