--- a/tests/unit/unit-upgrade.cpp
+++ b/tests/unit/unit-upgrade.cpp
@@ -11,6 +11,7 @@
 
 #include "../../src/peers/peer_state.hpp"
 #include "protocol-b454791/protocol.capnp.h"
+#include "recorded-81223e2.hpp"
 #include "recorded-b454791.hpp"
 
 using namespace rhubarbgrade;
@@ -142,6 +143,28 @@
     CHECK(earlier_state.getMoves()[0].getElapsedMs() == 70);
 }
 
+TEST_CASE("a host that tells neither evacuations nor cold endpoints is read",
+          "[upgrade]")
+{
+    const auto heartbeat = decoded<peer_heartbeat>(recorded_81223e2::heartbeat);
+    CHECK(heartbeat.host == "h1");
+    CHECK(heartbeat.configuration == 7);
+    CHECK(heartbeat.state_digest == 42);
+    CHECK(heartbeat.store_era == 3);
+    CHECK(heartbeat.store_failing);
+    CHECK(heartbeat.state_age == milliseconds(40));
+    CHECK_FALSE(heartbeat.store_answers);
+    CHECK(heartbeat.evacuations.revision == 0);
+    CHECK(heartbeat.evacuations.zones.empty());
+    const auto state = decode_state(bytes_of(recorded_81223e2::state));
+    REQUIRE(state);
+    REQUIRE(state->endpoints.size() == 1);
+    CHECK(state->endpoints[0].id == "i-1");
+    CHECK(state->endpoints[0].slots == 4);
+    CHECK(state->endpoints[0].leaving);
+    CHECK(state->endpoints[0].cold == milliseconds(0));
+}
+
 TEST_CASE("a message of an unknown kind is an error and nothing worse",
           "[upgrade]")
 {
