A stop ends when no connection is open, not when no request is counted

What callers saw: around a planned stop of a late host, a request that the host had read and sent to an endpoint got no answer; the connection was reset.

Cause: the input of a connection is read in one step of the event loop, and the request is counted in a later one. If the drain ran between them, it found nothing in flight, the wallets were frozen, and the process ended while the request was at an endpoint. For the same time the connection passed for idle in the budget of callers, which closes idle ones.

Evidence: event=drained in_flight=0, then event=traffic_ended in_flight=1, in each of the failed runs.

Change: a connection counts as open from its admission until it is closed, whatever it is doing, and a stop ends when none is open or at its deadline. A connection is closed as idle only if nothing lies unread in the kernel and it has been quiet for 0.5 s, so that a caller that sends one request after the other is told of the close first. Received input ends the idle stage at once. An answer that still lingers is waited for, too.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -38,6 +38,10 @@
 /// response.
 constexpr milliseconds linger_time{500};
 
+/// Time without a request after which a connection is closed in a planned stop.
+/// A caller that sends one request after the other is answered first.
+constexpr milliseconds quiet_time{500};
+
 /// Memory of a connection without a request, in bytes: its state, the tasks
 /// that serve it, and a buffer for one read.
 constexpr std::size_t connection_bytes = 6144;
@@ -153,9 +157,9 @@
     m_socket.close(ignored);
 }
 
-void caller_session::close_if_idle()
+void caller_session::close_if_idle(time_point_t now)
 {
-    if (m_idle)
+    if (m_idle && now - m_share.last_progress >= quiet_time)
         m_input_timer.cancel();
 }
 
@@ -208,8 +212,13 @@
 
 asio::awaitable<bool> caller_session::admit()
 {
+    const auto self = shared_from_this();
+    m_context.sessions.insert(this);
     enter(caller_stage::silent);
-    co_return co_await hold(0, 1);
+    const bool admitted = co_await hold(0, 1);
+    if (!admitted)
+        close();
+    co_return admitted;
 }
 
 void caller_session::release_request()
@@ -265,6 +274,9 @@
             self->m_read_pending = false;
             self->m_buffer.commit(count);
             self->m_disconnected = static_cast<bool>(fault);
+            // From here on the connection must not be given up as idle.
+            if (count != 0 && self->m_idle)
+                self->enter(caller_stage::reading);
             self->m_input_timer.cancel();
             // A pipelined request stays in the buffer until its turn.
             if (self->m_disconnected && self->m_disconnect_handler)
@@ -281,8 +293,15 @@
     if (m_buffer.size() == 0)
         start_input_read();
     m_idle = true;
-    if (m_read_pending)
+    while (m_read_pending)
+    {
         co_await m_input_timer.async_wait(as_values);
+        error_code ignored; // a closed socket has no input
+        if (!m_read_pending || m_socket.available(ignored) == 0)
+            break;
+        // What has arrived is read next.
+        m_input_timer.expires_after(linger_time);
+    }
     m_idle = false;
     co_return !m_disconnected && !m_read_pending;
 }
@@ -535,7 +554,6 @@
 asio::awaitable<void> caller_session::run()
 {
     const auto self = shared_from_this();
-    m_context.sessions.insert(this);
     while (co_await wait_for_input())
     {
         if (!co_await read_and_serve())
@@ -543,6 +561,11 @@
         release_request();
         enter(caller_stage::idle);
     }
+    close();
+}
+
+void caller_session::close()
+{
     m_context.sessions.erase(this);
     abort();
     m_context.callers.remove(m_share);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -41,10 +41,11 @@
 
     /// @brief Takes the connection's part of the budget of callers; waits if
     ///        others have to be closed for it.
-    /// @return false if there is none; the connection must be closed then
+    /// From then on the connection counts as open until it is closed.
+    /// @return false if there is none, and the connection has been closed
     boost::asio::awaitable<bool> admit();
 
-    /// @brief Serves the connection until either side closes it.
+    /// @brief Serves the admitted connection until either side closes it.
     boost::asio::awaitable<void> run();
 
     boost::asio::ip::tcp::socket& socket()
@@ -56,8 +57,9 @@
     ///        incomplete response.
     void abort();
 
-    /// @brief Closes the connection if it is waiting for a request.
-    void close_if_idle();
+    /// @brief Closes the connection if it has been waiting for a request for a
+    ///        while and nothing has arrived.
+    void close_if_idle(time_point_t now);
 
     /// @brief Sets the function that is called once the caller disconnects; it
     ///        is called at once if that has happened already.
@@ -119,6 +121,7 @@
                          std::size_t descriptors) const;
     void enter(caller_stage stage);
     void give_up();
+    void close();
 
     boost::asio::ip::tcp::socket m_socket;
     traffic_context& m_context;
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -105,7 +105,7 @@
     /// Number of the last trial made with a quarantined suspect, by its id.
     std::map<std::uint64_t, int> trials;
     traffic_counters counters;
-    std::set<caller_session*> sessions; ///< running; they remove themselves
+    std::set<caller_session*> sessions; ///< open; they remove themselves
     std::size_t in_flight = 0;          ///< requests of callers
     std::size_t reading = 0;            ///< requests that have begun to arrive
     std::set<caller_exchange*> exchanges; ///< running; they remove themselves
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -251,10 +251,10 @@
         set_tcp_options(socket);
         const auto session =
             std::make_shared<caller_session>(std::move(socket), m_context);
-        if (!co_await session->admit())
-            continue;
-        spawn(m_loop, session->run(), "caller session");
+        if (co_await session->admit())
+            spawn(m_loop, session->run(), "caller session");
     }
+    m_accepts_callers = false;
 }
 
 asio::awaitable<void> traffic_loop::accept_readiness_checks()
@@ -388,14 +388,13 @@
     constexpr milliseconds poll_interval{20};
     for (;;)
     {
-        const auto sessions = m_context.sessions;
-        for (auto* const each : sessions)
-            each->close_if_idle();
         const auto now = time_point_t::clock::now();
+        for (auto* const each : m_context.sessions)
+            each->close_if_idle(now);
         const bool relays_busy = close_quiet_relays(now);
-        if ((m_context.in_flight == 0 && m_context.reading == 0 &&
-             !relays_busy) ||
-            now >= drain_deadline)
+        const bool drained =
+            m_context.sessions.empty() && !m_accepts_callers && !relays_busy;
+        if (drained || now >= drain_deadline)
             break;
         timer.expires_after(poll_interval);
         co_await timer.async_wait(as_values);
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -123,6 +123,7 @@
     tcp_t::acceptor m_relay_acceptor;
     /// Of readiness checks, the one that was used last at the end.
     std::list<std::shared_ptr<tcp_t::socket>> m_readiness_connections;
+    bool m_accepts_callers = true;
     std::uint16_t m_announced_relay = 0;
     bool m_send_pending = false; ///< a report of the wallets is posted
 };
--- a/tests/integration/integration-stop.cpp
+++ b/tests/integration/integration-stop.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -53,11 +54,18 @@
 
     /// Reads to the end of the connection.
     std::string read_all() const
+    {
+        return read_until("");
+    }
+
+    /// Reads until the text ends with @a end, or to the end of the connection.
+    std::string read_until(const std::string& end) const
     {
         std::string text;
         std::array<char, 4096> bytes{};
         ssize_t count = 0;
-        while ((count = ::recv(m_socket, bytes.data(), bytes.size(), 0)) > 0)
+        while ((end.empty() || !text.ends_with(end)) &&
+               (count = ::recv(m_socket, bytes.data(), bytes.size(), 0)) > 0)
             text.append(bytes.data(), static_cast<std::size_t>(count));
         return text;
     }
@@ -85,6 +93,20 @@
         });
 }
 
+std::string whole_request(const std::string& path, int deadline_ms = 3000)
+{
+    return request_head(path, deadline_ms) + "body";
+}
+
+/// Whether the text has a whole answer that is no failure: a success, or a
+/// refusal that tells when to come again.
+bool is_answered(const std::string& text)
+{
+    return text.starts_with("HTTP/1.1 200") ||
+           (text.starts_with("HTTP/1.1 503") &&
+            text.find("Retry-After") != std::string::npos);
+}
+
 /// When the balancer has stopped sending connections, with some time over.
 constexpr milliseconds late{3200};
 
@@ -149,3 +171,33 @@
     CHECK(answer->status == 504);
     CHECK(site.host("h1").wait_exit() == 0);
 }
+
+TEST_CASE("a request that a late host reads as its stop ends is answered",
+          "[stop]")
+{
+    installation site;
+    site.start_replica("i-1", "desk");
+    site.set_replica_fault("i-1", {{"delay_ms", 400}});
+    site.start_host("h1");
+    const bool is_new = GENERATE(false, true);
+    INFO((is_new ? "on a new connection" : "on a kept connection"));
+    std::optional<slow_caller> caller;
+    if (!is_new)
+    {
+        caller.emplace(site.host("h1").port());
+        caller->send(whole_request("/read/before"));
+        REQUIRE(is_answered(caller->read_until("run 1")));
+    }
+    site.host("h1").signal(SIGTERM);
+    wait_for(milliseconds(500));
+    site.host("h1").signal(SIGSTOP);
+    if (is_new)
+        caller.emplace(site.host("h1").port());
+    caller->send(whole_request("/read/x"));
+    wait_for(late - milliseconds(500));
+    site.host("h1").signal(SIGCONT);
+    const auto answer = caller->read_all();
+    CHECK(site.host("h1").wait_exit() == 0);
+    INFO(answer << site.log_text("h1"));
+    CHECK(is_answered(answer));
+}
