Connections that wait to be accepted as a host stops accepting are served

What callers saw: a reset connection, without an answer, at a host that stops.

Cause: the host closed its listener 2.6 s after the signal with the connections in its queue, some of them with a whole request. A late host has more of them, and while most hosts of a zone stop, the balancer goes on sending callers to all of them.

Change: all that wait are accepted and served before the listener is closed.

Result: the test sends 8 requests to a host that is frozen over the end of its accepting period.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -564,6 +564,14 @@
     close();
 }
 
+asio::awaitable<void> caller_session::admit_and_run()
+{
+    const auto self = shared_from_this();
+    const bool admitted = co_await admit();
+    if (admitted)
+        co_await run();
+}
+
 void caller_session::close()
 {
     m_context.sessions.erase(this);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -48,6 +48,9 @@
     /// @brief Serves the admitted connection until either side closes it.
     boost::asio::awaitable<void> run();
 
+    /// @brief Serves the connection if it can be admitted.
+    boost::asio::awaitable<void> admit_and_run();
+
     boost::asio::ip::tcp::socket& socket()
     {
         return m_socket;
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -257,6 +257,24 @@
     m_accepts_callers = false;
 }
 
+void traffic_loop::close_caller_port()
+{
+    boost::system::error_code fault; // ends the loop, nothing is lost
+    m_caller_acceptor.non_blocking(true, fault);
+    while (!fault)
+    {
+        tcp_t::socket socket(m_loop);
+        m_caller_acceptor.accept(socket, fault);
+        if (fault)
+            break;
+        set_tcp_options(socket);
+        const auto session =
+            std::make_shared<caller_session>(std::move(socket), m_context);
+        spawn(m_loop, session->admit_and_run(), "caller session");
+    }
+    m_caller_acceptor.close(fault);
+}
+
 asio::awaitable<void> traffic_loop::accept_readiness_checks()
 {
     while (m_readiness_acceptor.is_open())
@@ -383,8 +401,7 @@
                                 m_context.bounds.grace - final_write_reserve;
     asio::steady_timer timer(m_loop, unready_period);
     co_await timer.async_wait(as_values);
-    boost::system::error_code ignored; // nothing is accepted afterwards
-    m_caller_acceptor.close(ignored);
+    close_caller_port();
     constexpr milliseconds poll_interval{20};
     for (;;)
     {
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -88,6 +88,8 @@
     using tcp_t = boost::asio::ip::tcp;
 
     boost::asio::awaitable<void> accept_callers();
+    /// Serves the connections that wait to be accepted and listens no more.
+    void close_caller_port();
     boost::asio::awaitable<void> accept_readiness_checks();
     boost::asio::awaitable<void> accept_relayed();
     /// Tells control whether this host passes connections on, if that has
--- a/tests/integration/integration-stop.cpp
+++ b/tests/integration/integration-stop.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <string>
 #include <thread>
@@ -201,3 +202,25 @@
     INFO(answer << site.log_text("h1"));
     CHECK(is_answered(answer));
 }
+
+TEST_CASE("requests on connections that wait to be accepted as the host stops "
+          "accepting are answered",
+          "[stop]")
+{
+    installation site;
+    site.start_replica("i-1", "desk");
+    site.start_host("h1");
+    site.host("h1").signal(SIGTERM);
+    wait_for(milliseconds(500));
+    site.host("h1").signal(SIGSTOP);
+    constexpr int callers = 8;
+    std::deque<slow_caller> waiting;
+    for (int i = 0; i < callers; ++i)
+        waiting.emplace_back(site.host("h1").port())
+            .send(whole_request("/read/x"));
+    wait_for(late - milliseconds(500));
+    site.host("h1").signal(SIGCONT);
+    for (const auto& each : waiting)
+        CHECK(is_answered(each.read_all()));
+    CHECK(site.host("h1").wait_exit() == 0);
+}
