A status that HTTP does not have is no answer, and an interim head is skipped

Seen by callers: an endpoint's status 000, 099, 101, 103 or 650 came as the answer, signed and framed as whole; so did a 103 that only announced the answer (the answer itself was dropped).

Cause: a host read one head and took its three digits for the answer's status, whatever they were. Only from 500 on does a status count as a failure, so anything below passed as a success. 650 got a second try where the kind of route allows one, and reached the caller elsewhere and after the last attempt.

Change: kind_of_status (routing, no I/O) tells final (200 to 599), interim and invalid statuses apart. Interim heads are skipped, eight at most; 101 and one that announces a body are invalid. An invalid status breaks the attempt like a connection that ends: nothing of it is passed on, the request may have run, so it is repeated only where its kind and the budgets allow, and answered 502 otherwise. It is logged as status_invalid.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -14,7 +14,9 @@
 #include <boost/beast/http/span_body.hpp> // span_body
 #include <boost/beast/http/write.hpp>     // async_write
 
-#include <spdlog/spdlog.h> // info
+#include <spdlog/spdlog.h> // info, warn
+
+#include <rhubarbgrade/detail/routing/answer_status.hpp> // kind_of_status
 
 #include "answer_writer.hpp"  // response_writer
 #include "crash_detector.hpp" // crash_probe_delay
@@ -51,6 +53,9 @@
 /// given up.
 constexpr int max_stale_responses = 4;
 
+/// Interim heads that are skipped before the connection is given up.
+constexpr int max_interim_heads = 8;
+
 /// Interval at which an attempt finds out whether this host has lost its path
 /// to the endpoint.
 constexpr milliseconds path_check_interval{100};
@@ -77,6 +82,13 @@
                                  {event_stream.data(), event_stream.size()});
 }
 
+/// Whether a head announces a body.
+bool is_framed(const http::fields& fields)
+{
+    return fields.find(http::field::content_length) != fields.end() ||
+           fields.find(http::field::transfer_encoding) != fields.end();
+}
+
 /// Statuses that by their HTTP semantics mean that the request was not
 /// executed. Except for 421, the status alone proves nothing: the endpoint
 /// confirms it by a header of its own, see platform::response_head::not_run.
@@ -129,12 +141,11 @@
 }
 
 asio::awaitable<bool>
-endpoint_attempt::read_head(const attempt_params& params,
-                            std::unique_ptr<parser_t>& parser,
-                            platform::response_head& head)
+endpoint_attempt::read_one_head(const attempt_params& params,
+                                std::unique_ptr<parser_t>& parser)
 {
-    for (int stale_responses = 0; stale_responses <= max_stale_responses;
-         ++stale_responses)
+    for (int interim_heads = 0; interim_heads <= max_interim_heads;
+         ++interim_heads)
     {
         parser = std::make_unique<parser_t>();
         parser->header_limit(max_header_size);
@@ -145,6 +156,29 @@
         m_directory.count_bytes(count);
         if (fault)
             co_return false;
+        const auto status = parser->get().result_int();
+        const auto kind = kind_of_status(status, is_framed(parser->get()));
+        if (kind == status_kind::final)
+            co_return true;
+        if (kind == status_kind::interim)
+            continue;
+        spdlog::warn("event=status_invalid request={} endpoint={} status={}",
+                     params.request_id, m_endpoint->entry.id, status);
+        co_return false;
+    }
+    co_return false;
+}
+
+asio::awaitable<bool>
+endpoint_attempt::read_head(const attempt_params& params,
+                            std::unique_ptr<parser_t>& parser,
+                            platform::response_head& head)
+{
+    for (int stale_responses = 0; stale_responses <= max_stale_responses;
+         ++stale_responses)
+    {
+        if (!co_await read_one_head(params, parser))
+            co_return false;
         head = platform::decode_response(parser->get());
         const auto status = parser->get().result_int();
         if (head.id == params.request_id)
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -87,6 +87,10 @@
 
     boost::asio::awaitable<bool> send(const attempt_params& params,
                                       attempt_report& report);
+    /// Reads the next head that is not an interim one.
+    boost::asio::awaitable<bool>
+    read_one_head(const attempt_params& params,
+                  std::unique_ptr<parser_t>& parser);
     boost::asio::awaitable<bool> read_head(const attempt_params& params,
                                            std::unique_ptr<parser_t>& parser,
                                            platform::response_head& head);
--- a/tests/integration/integration-broken-answers.cpp
+++ b/tests/integration/integration-broken-answers.cpp
@@ -40,6 +40,8 @@
     int cut = 0;     ///< framed as whole, but not whole
     int mixed = 0;   ///< not a part of the expected body
     int refused = 0; ///< said not to have run
+    int invalid = 0; ///< with a status that no answer has
+    int failed = 0;  ///< 502
 };
 
 void start_endpoints(installation& site)
@@ -62,6 +64,10 @@
     if (answer->status == 503 || answer->status == 429 ||
         answer->status == 421 || answer->status == 408)
         ++seen.refused;
+    if (answer->status < 200 || answer->status > 599)
+        ++seen.invalid;
+    if (answer->status == 502)
+        ++seen.failed;
     if (answer->status != 200)
         return;
     if (answer->body == expected)
@@ -72,6 +78,17 @@
         ++seen.mixed;
 }
 
+void add(tally& sum, const tally& part)
+{
+    sum.answers += part.answers;
+    sum.whole += part.whole;
+    sum.cut += part.cut;
+    sum.mixed += part.mixed;
+    sum.refused += part.refused;
+    sum.invalid += part.invalid;
+    sum.failed += part.failed;
+}
+
 /// Sends requests through all hosts, several at a time, with a pause in which
 /// crashed endpoints restart.
 tally send(const installation& site, const std::string& path,
@@ -98,13 +115,7 @@
         for (auto& each : callers)
             each.join();
         for (const auto& each : parts)
-        {
-            seen.answers += each.answers;
-            seen.whole += each.whole;
-            seen.cut += each.cut;
-            seen.mixed += each.mixed;
-            seen.refused += each.refused;
-        }
+            add(seen, each);
         // A crash makes a host avoid the endpoint; sound requests go on.
         wait_until(
             [&]
@@ -341,3 +352,61 @@
     CHECK(answer.orderly == (fault != "reset"));
     CHECK((body == whole_stream) == answer.orderly);
 }
+
+TEST_CASE("a status that HTTP does not have reaches no caller as an answer",
+          "[broken][status]")
+{
+    installation site;
+    start_endpoints(site);
+    const std::string status = GENERATE("000", "099", "101", "103", "650");
+    INFO("status " << status);
+    for (const std::string path :
+         {"/stream/", "/stream/resumed/", "/book/", "/read/"})
+    {
+        INFO(path);
+        const auto& whole =
+            path.starts_with("/stream/") ? whole_stream : whole_plain;
+        const bool once = path == "/stream/" || path == "/book/";
+        const auto all =
+            send(site, path + "x", whole, {{"Fault", "status_" + status}}, 4);
+        CHECK(all.answers == 12);
+        CHECK(all.invalid == 0);
+        CHECK(all.whole + all.cut + all.mixed == 0);
+        CHECK(all.failed + all.refused == all.answers);
+        const auto runs = static_cast<int>(site.runs(path + "x").size());
+        if (once)
+            CHECK(runs == all.failed);
+        else
+            CHECK(runs <= 2 * all.answers);
+
+        const auto one = send(
+            site, path + "y", whole,
+            {{"Fault", "status_" + status +
+                           (path.starts_with("/stream/") ? "@e-1" : "@d-1")}},
+            8);
+        CHECK(one.invalid == 0);
+        CHECK(one.cut + one.mixed == 0);
+        if (!once)
+            CHECK(one.whole == one.answers);
+    }
+}
+
+TEST_CASE("an interim head is not taken for the answer", "[broken][status]")
+{
+    installation site;
+    start_endpoints(site);
+    const std::string fault = GENERATE("interim", "interims", "interim_body");
+    INFO("fault " << fault);
+    for (const std::string path :
+         {"/stream/x", "/stream/resumed/x", "/book/x", "/read/x"})
+    {
+        INFO(path);
+        const auto seen =
+            send(site, path,
+                 path.starts_with("/stream/") ? whole_stream : whole_plain,
+                 {{"Fault", fault}}, 4);
+        CHECK(seen.invalid == 0);
+        CHECK(seen.cut + seen.mixed == 0);
+        CHECK(seen.whole == (fault == "interim" ? seen.answers : 0));
+    }
+}
--- a/tests/standin/irregular.cpp
+++ b/tests/standin/irregular.cpp
@@ -18,6 +18,11 @@
 //   large_error   status 500 with a chunked text that breaks off late
 //   text          status 200 with a text instead of events
 //   midway        whole, but begins inside an event
+//   status_NNN    that status, with a length and a text
+//   interim       whole, after a head with status 103
+//   interims      the same after many of them
+//   interim_body  the same after a head with status 103, a length and a body
+//                 that reads like an answer
 //   unidentified  a refusal without the request's id; it is sent once more when
 //                 the next request arrives on the connection
 //
@@ -30,6 +35,7 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include <gflags/gflags.h>
@@ -174,6 +180,30 @@
                   body);
 }
 
+void send_interim(int socket, const std::string& request,
+                  const std::string& framing)
+{
+    write_all(socket, answer_head(request, "103 Early Hints", "text/plain",
+                                  "Link: </style.css>\r\n" + framing));
+}
+
+void send_interims(int socket, const std::string& request,
+                   const std::string& fault)
+{
+    if (fault == "interim_body")
+    {
+        const auto body =
+            answer_head(request, "200 OK", "text/plain", "") + "other";
+        send_interim(socket, request, length_of(body));
+        write_all(socket, body);
+        return;
+    }
+    constexpr int many = 200;
+    const int count = fault == "interims" ? many : 1;
+    for (int i = 0; i < count; ++i)
+        send_interim(socket, request, "");
+}
+
 std::string fault_of(const std::string& request)
 {
     const bool resumes = !header_value(request, "Last-Event-Id").empty();
@@ -198,12 +228,17 @@
                         {"replica", FLAGS_id},
                         {"path", path},
                         {"id", header_value(request, "Request-Id")}});
+    constexpr std::string_view status = "status_";
+    if (fault.starts_with("interim"))
+        send_interims(socket, request, fault);
     if (fault == "half_head")
         write_all(socket, "HTTP/1.1 200 OK\r\nContent-Le");
     else if (fault == "error")
         send_text(socket, request, "500 Internal Server Error");
     else if (fault == "large_error")
         send_large_error(socket, request);
+    else if (fault.starts_with(status))
+        send_text(socket, request, fault.substr(status.size()) + " Strange");
     else if (fault == "text")
         send_text(socket, request, "200 OK");
     else if (path.find("/stream/") == std::string::npos)
