A request isn't sent to an endpoint that left while its connection opened

What callers saw: nothing.

Cause: an endpoint is chosen from the list that holds at that moment, and the request is written once its connection has opened, up to 0.4 s later, through a relay up to 1 s. Only an evacuation that came in between was looked at again, not an endpoint that was no longer listed.

Evidence: the test opens a connection, takes the endpoint off the list before the host takes notice of the connection, and looks at what the endpoint gets.

Change: the same check as for an evacuation. The request counts as withheld: the connection is closed, another endpoint is chosen, and neither the retry budget nor the endpoint's record changes. What is already being written is not taken back.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -325,8 +325,9 @@
     if (!m_link || m_cancelled)
         co_return report;
     m_relayed = m_link->relayed;
-    // Its zone may have been evacuated while the connection opened.
-    if (m_endpoint->evacuated)
+    // It may have begun to leave, or its zone may have been evacuated, while
+    // the connection opened.
+    if (!m_endpoint->listed || m_endpoint->evacuated)
     {
         m_directory.return_connection(*m_endpoint, std::move(m_link),
                                       time_point_t::clock::now());
--- a/src/gateway/endpoint_attempt.hpp
+++ b/src/gateway/endpoint_attempt.hpp
@@ -40,7 +40,8 @@
     /// This host is, or may be, cut from the endpoint: no evidence of its
     /// health.
     bool path_failed = false;
-    bool withheld = false; ///< not sent, since the endpoint was evacuated
+    /// Not sent, since the endpoint had begun to leave or was evacuated.
+    bool withheld = false;
     double latency_s = -1; ///< to the response header; below 0 if none came
     /// From the response header to the end of the attempt; 0 if none came.
     time_point_t::duration answer_time{};
