--- a/tests/unit/unit-attempt.cpp
+++ b/tests/unit/unit-attempt.cpp
@@ -44,7 +44,7 @@
               [](const limit_observation&) {}, [] {}),
           m_session(
               std::make_shared<caller_session>(socket_t(m_loop), m_context)),
-          m_writer(*m_session, true)
+          m_writer(*m_session, true, true)
     {
         m_entry.id = "e";
         m_entry.service = "s";
@@ -111,7 +111,7 @@
 
     asio::awaitable<void> run(std::shared_ptr<endpoint_attempt> attempt)
     {
-        attempt_params params{m_request, {}, "r1", false, false, true, {}, {}};
+        attempt_params params{m_request, {}, "r1", false, false, {}, {}};
         m_report = co_await attempt->run(std::move(params));
     }
 
