Waits for an endpoint or for tokens end with the host

What callers saw: a request that waited for an endpoint as its host was stopped got neither an answer nor a refusal; its connection was closed at the end of the grace period.

Cause: a stop lowers the time limits of the requests it finds, but the end of a wait had been computed before, and nothing woke the wait. Found by review.

Evidence: the test's request waits with an objective of 18 s and a grace period of 3 s.

Change: a stop ends all waits, of either kind, by the time at which it gives requests up; those that wait ask once more and wait until then. The request is then refused, as it has not run.

--- a/src/gateway/room_queue.cpp
+++ b/src/gateway/room_queue.cpp
@@ -1,6 +1,6 @@
 #include "room_queue.hpp"
 
-#include <algorithm> // find
+#include <algorithm> // find, min
 #include <memory>    // make_shared
 #include <string>    // string
 #include <utility>   // move
@@ -30,6 +30,7 @@
 asio::awaitable<bool> endpoint_wait_queue::wait(std::string service,
                                                 time_point_t until)
 {
+    until = std::min(until, m_latest_end);
     auto& queue = m_queues[service];
     if (queue.size() >= max_waiting || time_point_t::clock::now() >= until)
         co_return false;
@@ -54,6 +55,17 @@
     found->second.pop_front();
 }
 
+void endpoint_wait_queue::end_waits_by(time_point_t latest_end)
+{
+    m_latest_end = latest_end;
+    for (auto& [service, queue] : m_queues)
+    {
+        for (const auto& each : queue)
+            each->cancel();
+        queue.clear();
+    }
+}
+
 std::size_t endpoint_wait_queue::waiting(std::string_view service) const
 {
     const auto found = m_queues.find(service);
--- a/src/gateway/room_queue.hpp
+++ b/src/gateway/room_queue.hpp
@@ -32,11 +32,15 @@
 
     std::size_t waiting(std::string_view service) const;
 
+    /// @brief Ends all waits by then, also those that have begun.
+    void end_waits_by(time_point_t latest_end);
+
 private:
     using timer_ptr_t = std::shared_ptr<boost::asio::steady_timer>;
 
     boost::asio::any_io_executor m_executor;
     std::map<std::string, std::deque<timer_ptr_t>, std::less<>> m_queues;
+    time_point_t m_latest_end = time_point_t::max();
 };
 
 } // namespace rhubarbgrade
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -459,6 +459,8 @@
     const auto exchanges = m_context.exchanges;
     for (auto* const each : exchanges)
         each->limit_deadline();
+    m_context.wait_queue.end_waits_by(ends);
+    m_context.wallets.end_waits_by(ends);
     announce_relay();
     spawn(m_loop, drain(std::move(done)), "drain requests");
 }
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -76,14 +76,15 @@
         const bool refill_possible =
             !account.budget_known || account.budget.can_extend ||
             (account.budget.undrawn != 0 && account.budget.can_draw);
-        if (now >= until || !refill_possible)
+        const auto wait_end = std::min(until, m_latest_wait_end);
+        if (now >= wait_end || !refill_possible)
             co_return count_shortage(account.state.refused,
                                      cause_of_shortage(account.budget));
         account.state.waiting += max_tokens;
         m_on_tokens_needed();
         // All waiting requests share update_timer; an update of the budget
         // cancels it as well.
-        asio::steady_timer deadline_timer(m_executor, until);
+        asio::steady_timer deadline_timer(m_executor, wait_end);
         deadline_timer.async_wait(
             [&account](auto fault)
             {
@@ -98,6 +99,13 @@
     co_return reserve_result::reserved;
 }
 
+void wallet_table::end_waits_by(time_point_t latest_end)
+{
+    m_latest_wait_end = latest_end;
+    for (auto& [customer, account] : m_wallets)
+        account.update_timer->cancel();
+}
+
 void wallet_table::settle(std::string_view customer, token_count_t max_tokens,
                           token_count_t used)
 {
--- a/src/gateway/wallet_table.hpp
+++ b/src/gateway/wallet_table.hpp
@@ -57,6 +57,9 @@
     boost::asio::awaitable<reserve_result>
     reserve(std::string customer, token_count_t max_tokens, time_point_t until);
 
+    /// @brief Ends all waits for draws by then, also those that have begun.
+    void end_waits_by(time_point_t latest_end);
+
     /// @brief Releases a reservation and charges the tokens used.
     /// @param[in] max_tokens  as reserved
     /// @param[in] used        tokens used; capped at @a max_tokens
@@ -94,6 +97,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::function<void()> m_on_tokens_needed;
+    time_point_t m_latest_wait_end = time_point_t::max();
     bool m_frozen = false;
     std::map<std::string, wallet, std::less<>> m_wallets;
 };
--- a/tests/integration/integration-stop.cpp
+++ b/tests/integration/integration-stop.cpp
@@ -17,6 +17,7 @@
 #include "installation.hpp"
 
 using harness::installation;
+using harness::json;
 using harness::wait_until;
 using std::chrono::milliseconds;
 using clock_type = std::chrono::steady_clock;
@@ -274,3 +275,24 @@
         CHECK(is_answered(each.read_all()));
     CHECK(site.host("h1").wait_exit() == 0);
 }
+
+TEST_CASE("a request that waits for an endpoint as the host stops is answered "
+          "by the end of the grace period",
+          "[stop]")
+{
+    const json route{{"name", "/read/"},       {"hostname", "a.example"},
+                     {"pathPrefix", "/read/"}, {"kind", "idempotent"},
+                     {"timeoutMs", 20000},     {"targetLatencyMs", 18000},
+                     {"service", "desk"},      {"maxAttempts", 1}};
+    const json routes{{"routes", json::array({route})}};
+    installation site(routes);
+    site.start_host("h1", "graceS = 3");
+    const slow_caller caller(site.host("h1").port());
+    caller.send(whole_request("/read/x", 20000));
+    wait_for(milliseconds(300));
+    site.host("h1").signal(SIGTERM);
+    const auto answer = caller.read_all();
+    CHECK(site.host("h1").wait_exit() == 0);
+    INFO(answer << site.log_text("h1"));
+    CHECK(is_answered(answer));
+}
--- a/tests/unit/unit-wallet.cpp
+++ b/tests/unit/unit-wallet.cpp
@@ -136,3 +136,14 @@
     CHECK(host.wallets.states(time_point_t::clock::now())["clerks"].drawn ==
           30);
 }
+
+TEST_CASE("a wait for tokens ends by the end of all waits", "[wallet]")
+{
+    wallet_fixture host;
+    host.set_budget(0, 500);
+    const auto result = host.reserve(60, std::chrono::seconds(60));
+    CHECK_FALSE(*result);
+    host.wallets.end_waits_by(time_point_t::clock::now());
+    host.loop.poll();
+    CHECK(*result == reserve_result::undrawn);
+}
