The times of a stop count from its signal

What callers saw: nothing yet; by review. On a late host the end of accepting, of requests and of the process's work are late by as much as the signal waits in the queue of the traffic thread, while the process is killed on time: with more than 0.5 s not even the requests that are given up get an answer.

Cause: the signal's thread posts the stop to the traffic thread, which took the time as it ran the handler; the drain took it once more, and read the grace period again, which a SIGHUP may have changed meanwhile.

Change: the time is taken on the signal's thread, and plan_stop (routing, no I/O) derives all times of the stop from it, once.

--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -54,18 +54,6 @@
 /// Interval at which the counters are logged.
 constexpr milliseconds log_interval{5000};
 
-/// Time for which connections are still accepted after the stop signal. The
-/// load balancer stops sending them after two failed readiness checks, a second
-/// apart.
-constexpr milliseconds unready_period{2600};
-
-/// Part of the grace period reserved for the last write to the store before the
-/// process is killed.
-constexpr milliseconds final_write_reserve{500};
-
-/// Time for the answers to what is given up at the end of a stop.
-constexpr milliseconds answer_reserve{200};
-
 random_source_t seeded_random()
 {
     const auto engine =
@@ -259,7 +247,7 @@
 
 void traffic_loop::close_caller_port()
 {
-    boost::system::error_code fault; // ends the loop, nothing is lost
+    boost::system::error_code fault;
     m_caller_acceptor.non_blocking(true, fault);
     while (!fault)
     {
@@ -397,9 +385,7 @@
 asio::awaitable<void>
 traffic_loop::drain(std::function<void(wallet_states_t)> done)
 {
-    const auto drain_deadline = time_point_t::clock::now() +
-                                m_context.bounds.grace - final_write_reserve;
-    asio::steady_timer timer(m_loop, unready_period);
+    asio::steady_timer timer(m_loop, m_context.stop.late_from);
     co_await timer.async_wait(as_values);
     close_caller_port();
     constexpr milliseconds poll_interval{20};
@@ -411,7 +397,7 @@
         const bool relays_busy = close_quiet_relays(now);
         const bool drained =
             m_context.sessions.empty() && !m_accepts_callers && !relays_busy;
-        if (drained || now >= drain_deadline)
+        if (drained || now >= m_context.stop.closes)
             break;
         timer.expires_after(poll_interval);
         co_await timer.async_wait(as_values);
@@ -448,14 +434,13 @@
     return any_busy;
 }
 
-void traffic_loop::stop(std::function<void(wallet_states_t)> done)
+void traffic_loop::stop(time_point_t signalled,
+                        std::function<void(wallet_states_t)> done)
 {
     if (std::exchange(m_context.stopping, true))
         return;
-    const auto now = time_point_t::clock::now();
-    const auto ends =
-        now + m_context.bounds.grace - final_write_reserve - answer_reserve;
-    m_context.stop = {std::min(now + unready_period, ends), ends};
+    m_context.stop = plan_stop(signalled, m_context.bounds.grace);
+    const auto ends = m_context.stop.ends;
     const auto exchanges = m_context.exchanges;
     for (auto* const each : exchanges)
         each->limit_deadline();
--- a/src/gateway/traffic_loop.hpp
+++ b/src/gateway/traffic_loop.hpp
@@ -77,9 +77,11 @@
     void lower(const token_map_t& holdings);
 
     /// @brief Begins the graceful shutdown; later calls do nothing.
+    /// @param[in] signalled  when the process was told to stop
     /// @param[in] done  called with the final state of the wallets when no
     ///                  request is in flight or the grace period is over
-    void stop(std::function<void(wallet_states_t)> done);
+    void stop(time_point_t signalled,
+              std::function<void(wallet_states_t)> done);
 
     /// @brief Stops the I/O context; what is still served is cut off.
     void finish();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -186,9 +186,10 @@
 {
     asio::post(
         m_implementation->traffic_io,
-        [this]
+        [this, signalled = time_point_t::clock::now()]
         {
             m_implementation->traffic.stop(
+                signalled,
                 [this](wallet_states_t final_states)
                 {
                     asio::post(
--- a/src/routing/planned_stop.cpp
+++ b/src/routing/planned_stop.cpp
@@ -1,8 +1,36 @@
 #include <rhubarbgrade/detail/routing/planned_stop.hpp>
 
+#include <algorithm> // min
+
 namespace rhubarbgrade
 {
 
+namespace
+{
+
+/// Time for which connections are still accepted after the stop signal. The
+/// load balancer stops sending them after two failed readiness checks, a second
+/// apart.
+constexpr milliseconds unready_period{2600};
+
+/// Part of the grace period reserved for the last write to the store before the
+/// process is killed.
+constexpr milliseconds final_write_reserve{500};
+
+/// Time for the answers to what is given up at the end of a stop.
+constexpr milliseconds answer_reserve{200};
+
+} // namespace
+
+planned_stop plan_stop(time_point_t signalled, milliseconds grace)
+{
+    planned_stop stop;
+    stop.closes = signalled + grace - final_write_reserve;
+    stop.ends = stop.closes - answer_reserve;
+    stop.late_from = std::min(signalled + unready_period, stop.ends);
+    return stop;
+}
+
 bool may_begin(const planned_stop& stop, time_point_t latest_end,
                time_point_t now)
 {
--- a/tests/unit/unit-routing.cpp
+++ b/tests/unit/unit-routing.cpp
@@ -212,7 +212,10 @@
 TEST_CASE("late in a planned stop only what ends in time is begun", "[routing]")
 {
     const auto now = time_point_t{} + std::chrono::hours(1);
-    const planned_stop stop{now + milliseconds(2600), now + milliseconds(7300)};
+    const auto stop = plan_stop(now, milliseconds(8000));
+    CHECK(stop.late_from == now + milliseconds(2600));
+    CHECK(stop.ends == now + milliseconds(7300));
+    CHECK(stop.closes == now + milliseconds(7500));
     const auto long_one = now + milliseconds(15000);
     CHECK(may_begin(stop, long_one, now));
     CHECK(may_begin(stop, long_one, now + milliseconds(2599)));
@@ -221,3 +224,13 @@
     CHECK_FALSE(
         may_begin(stop, now + milliseconds(7301), now + milliseconds(5000)));
 }
+
+TEST_CASE("a stop with a short grace period ends before the process is killed",
+          "[routing]")
+{
+    const auto now = time_point_t::clock::now();
+    const auto stop = plan_stop(now, milliseconds(2000));
+    CHECK(stop.late_from <= stop.ends);
+    CHECK(stop.ends < stop.closes);
+    CHECK(stop.closes == now + milliseconds(1500));
+}
