Input in the kernel counts before an answer announces the end of its connection

What callers saw: a request sent along with another one, which had arrived but not been read when the first answer began, was read and dropped as the host stopped.

Change: both are looked at, by a peek as for idle connections to endpoints, since not every kernel tells the number of bytes. A caller that never stops sending ahead is told of the end once requests are given up. A request that crosses the answer's header is still dropped, as HTTP has it. A session that ends by an exception leaves no pointer behind.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -11,9 +11,10 @@
 
 #include <spdlog/spdlog.h> // info
 
-#include "caller_exchange.hpp" // caller_exchange
-#include "own_answer.hpp"      // make_local_response
-#include "traffic_context.hpp" // traffic_context
+#include "../store/socket_options.hpp" // has_unread
+#include "caller_exchange.hpp"         // caller_exchange
+#include "own_answer.hpp"              // make_local_response
+#include "traffic_context.hpp"         // traffic_context
 
 namespace rhubarbgrade
 {
@@ -148,6 +149,7 @@
 
 caller_session::~caller_session()
 {
+    m_context.sessions.erase(this);
     m_context.callers.remove(m_share);
 }
 
@@ -163,9 +165,12 @@
         m_input_timer.cancel();
 }
 
-bool caller_session::ends_after_answer() const
+bool caller_session::ends_after_answer()
 {
-    return m_context.stopping && m_buffer.size() == 0;
+    if (!m_context.stopping)
+        return false;
+    return time_point_t::clock::now() >= m_context.stop.ends ||
+           (m_buffer.size() == 0 && !has_unread(m_socket));
 }
 
 void caller_session::on_disconnect(std::function<void()> handler)
@@ -301,8 +306,7 @@
     while (m_read_pending)
     {
         co_await m_input_timer.async_wait(as_values);
-        error_code ignored; // a closed socket has no input
-        if (!m_read_pending || m_socket.available(ignored) == 0)
+        if (!m_read_pending || !has_unread(m_socket))
             break;
         // What has arrived is read next.
         m_input_timer.expires_after(linger_time);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -71,8 +71,9 @@
 
     /// @brief Whether the next answer has to announce the end of the
     /// connection:
-    ///        the host stops, and no other request has begun to arrive.
-    bool ends_after_answer() const;
+    ///        the host stops, and no other request has begun to arrive or there
+    ///        is no time left for it.
+    bool ends_after_answer();
 
     /// @brief Must be called before a part of an answer is written.
     /// @param[in] bytes  that are kept until it is written
--- a/src/store/socket_options.cpp
+++ b/src/store/socket_options.cpp
@@ -63,4 +63,12 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool has_unread(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    return socket.is_open() &&
+           ::recv(socket.native_handle(), &byte, 1,
+                  MSG_PEEK | MSG_DONTWAIT) > 0; // NOLINT(*-bitwise)
+}
+
 } // namespace rhubarbgrade
--- a/src/store/socket_options.hpp
+++ b/src/store/socket_options.hpp
@@ -24,4 +24,7 @@
 ///        peer has not closed it, and no unread data has been received.
 bool is_alive(boost::asio::ip::tcp::socket& socket);
 
+/// @brief Whether bytes have been received that are not read yet.
+bool has_unread(boost::asio::ip::tcp::socket& socket);
+
 } // namespace rhubarbgrade
