What a stop can't accept at once is accepted later; cut requests are logged

What callers saw: reset connections at a host that stops and has no descriptor left (by review). And a request that is cut as the process ends left no line.

Cause: the listener was closed at the first failure of accepting, not only if nobody waits; a request whose coroutine doesn't end logs nothing.

Change: without a descriptor the listener stays open, and the drain tries again; as the traffic ends, each request that is still served is logged as unanswered.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -804,6 +804,11 @@
         cause = m_deadline < m_latest_end ? "host_stops" : "time_limit";
     else if (m_endpoint_failed)
         cause = "endpoint_failed";
+    log_unanswered(cause);
+}
+
+void caller_exchange::log_unanswered(std::string_view cause) const
+{
     spdlog::warn("event=unanswered request={} cause={} events={} sends={} "
                  "stopping={}",
                  m_head.id, cause, m_writer.event_count(), m_tried.size(),
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <cstdint>  // uint64_t
-#include <memory>   // enable_shared_from_this, shared_ptr
-#include <optional> // optional
-#include <string>   // string
-#include <vector>   // vector
+#include <cstdint>     // uint64_t
+#include <memory>      // enable_shared_from_this, shared_ptr
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
 
 #include <boost/asio/awaitable.hpp>    // awaitable
 #include <boost/asio/steady_timer.hpp> // steady_timer
@@ -40,6 +41,9 @@
     /// @brief Gives the request up when the host's planned stop ends.
     void limit_deadline();
 
+    /// @brief Logs that the request has not been answered whole.
+    void log_unanswered(std::string_view cause) const;
+
     /// @brief Cancels the running attempt; called when the caller disconnects.
     void handle_disconnect();
 
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -260,6 +260,9 @@
             std::make_shared<caller_session>(std::move(socket), m_context);
         spawn(m_loop, session->admit_and_run(), "caller session");
     }
+    // Without a descriptor the rest has to wait.
+    if (fault == asio::error::no_descriptors)
+        return;
     m_caller_acceptor.close(fault);
 }
 
@@ -387,11 +390,12 @@
 {
     asio::steady_timer timer(m_loop, m_context.stop.late_from);
     co_await timer.async_wait(as_values);
-    close_caller_port();
     constexpr milliseconds poll_interval{20};
     for (;;)
     {
         const auto now = time_point_t::clock::now();
+        if (m_caller_acceptor.is_open())
+            close_caller_port();
         for (auto* const each : m_context.sessions)
             each->close_if_idle(now);
         const bool relays_busy = close_quiet_relays(now);
@@ -418,6 +422,8 @@
 
 void traffic_loop::finish()
 {
+    for (const auto* const each : m_context.exchanges)
+        each->log_unanswered("host_ends");
     log_drained("traffic_ended");
     m_loop.stop();
 }
