An answer that ends before its request is read does not look whole

Seen by callers: a part of an answer as a complete one. An endpoint answers a long upload at once with a 200 without a length, sends a part, ends its side in an orderly way and closes with the rest of the upload unread.

Cause: a body that its connection delimits counted as whole if the connection ended in an orderly way and the endpoint's process went on serving. The kernel's reset for the unread rest comes behind that end, and Linux doesn't report a reset to a read behind an end. While the upload is still written the write fails, which was sound; but the kernel's buffers take up to 4 MB of it.

Change: before such a body counts as whole, the host asks the kernel whether the endpoint has acknowledged the whole request and whether the connection was reset since its end (ended_after_all); the decision is is_whole's. answer_ended logs it.

--- a/include/rhubarbgrade/detail/routing/answer_end.hpp
+++ b/include/rhubarbgrade/detail/routing/answer_end.hpp
@@ -28,6 +28,9 @@
     /// The stream has all events that the request allows.
     bool limit_reached = false;
     endpoint_process process = endpoint_process::unknown;
+    /// The connection ended before the endpoint had read the whole request, or
+    /// was reset after its end.
+    bool request_unread = false;
 };
 
 /// @brief Whether the decision needs to know what became of the process.
@@ -37,7 +40,9 @@
 ///
 /// The kernel closes the connections of a process that crashes like those of
 /// one that has said everything. So a body that is delimited by the end of its
-/// connection is whole only if its process goes on serving.
+/// connection is whole only if its process goes on serving. One that closes
+/// while a part of the request is unread may have given up: the kernel's reset
+/// for that part can come behind an orderly end.
 bool is_whole(const answer_end& end);
 
 } // namespace rhubarbgrade
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -18,8 +18,9 @@
 
 #include <rhubarbgrade/detail/routing/answer_status.hpp> // kind_of_status
 
-#include "answer_writer.hpp"  // response_writer
-#include "crash_detector.hpp" // crash_probe_delay
+#include "../store/socket_options.hpp" // ended_after_all
+#include "answer_writer.hpp"           // response_writer
+#include "crash_detector.hpp"          // crash_probe_delay
 
 namespace rhubarbgrade
 {
@@ -293,14 +294,19 @@
 {
     // The end of a relay looks the same, so it is not asked who has ended.
     if (needs_process(end) && !m_link->relayed)
+    {
         end.process = co_await find_process();
+        end.request_unread = !ended_after_all(m_link->socket);
+    }
     const bool whole = is_whole(end);
     if (end.close_delimited || !whole)
         spdlog::info("event=answer_ended request={} endpoint={} whole={} "
-                     "close_delimited={} inside_event={} events={} process={}",
+                     "close_delimited={} inside_event={} events={} process={} "
+                     "request_unread={}",
                      params.request_id, m_endpoint->entry.id, whole,
                      end.close_delimited, end.inside_event,
-                     m_writer.event_count(), name_of(end.process));
+                     m_writer.event_count(), name_of(end.process),
+                     end.request_unread);
     co_return whole && !m_cancelled;
 }
 
--- a/src/routing/answer_end.cpp
+++ b/src/routing/answer_end.cpp
@@ -38,7 +38,8 @@
 {
     if (visibly_broken(end))
         return false;
-    return !needs_process(end) || end.process == endpoint_process::serving;
+    return !needs_process(end) ||
+           (end.process == endpoint_process::serving && !end.request_unread);
 }
 
 } // namespace rhubarbgrade
--- a/src/store/socket_options.cpp
+++ b/src/store/socket_options.cpp
@@ -2,9 +2,11 @@
 
 #include <cerrno> // EAGAIN, EWOULDBLOCK, errno
 
-#include <netinet/in.h>  // IPPROTO_TCP
-#include <netinet/tcp.h> // TCP_KEEPCNT, TCP_KEEPIDLE, TCP_USER_TIMEOUT
-#include <sys/socket.h>  // MSG_DONTWAIT, MSG_PEEK, recv
+#include <linux/sockios.h> // SIOCOUTQ
+#include <netinet/in.h>    // IPPROTO_TCP
+#include <netinet/tcp.h>   // TCP_CLOSE_WAIT, TCP_INFO, TCP_KEEPCNT, tcp_info
+#include <sys/ioctl.h>     // ioctl
+#include <sys/socket.h>    // MSG_DONTWAIT, MSG_PEEK, getsockopt, recv
 
 #include <boost/asio/ip/address_v4.hpp> // make_address_v4
 
@@ -63,4 +65,19 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool ended_after_all(boost::asio::ip::tcp::socket& socket)
+{
+    if (!socket.is_open())
+        return false;
+    const int handle = socket.native_handle();
+    tcp_info state{};
+    socklen_t size = sizeof(state);
+    int unacknowledged = 0;
+    // A read can't tell: behind an orderly end it doesn't report a reset.
+    return ::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &state, &size) == 0 &&
+           state.tcpi_state == TCP_CLOSE_WAIT &&
+           ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged == 0;
+}
+
 } // namespace rhubarbgrade
--- a/src/store/socket_options.hpp
+++ b/src/store/socket_options.hpp
@@ -24,4 +24,8 @@
 ///        peer has not closed it, and no unread data has been received.
 bool is_alive(boost::asio::ip::tcp::socket& socket);
 
+/// @brief Whether the peer has ended its side in an orderly way, received all
+///        that was sent to it, and not reset the connection since.
+bool ended_after_all(boost::asio::ip::tcp::socket& socket);
+
 } // namespace rhubarbgrade
--- a/tests/integration/integration-broken-answers.cpp
+++ b/tests/integration/integration-broken-answers.cpp
@@ -19,6 +19,7 @@
 
 using harness::installation;
 using harness::wait_until;
+using nlohmann::json;
 
 namespace
 {
@@ -37,11 +38,12 @@
 {
     int answers = 0;
     int whole = 0;
-    int cut = 0;     ///< framed as whole, but not whole
-    int mixed = 0;   ///< not a part of the expected body
-    int refused = 0; ///< said not to have run
-    int invalid = 0; ///< with a status that no answer has
-    int failed = 0;  ///< 502
+    int cut = 0;             ///< framed as whole, but not whole
+    int mixed = 0;           ///< not a part of the expected body
+    int refused = 0;         ///< said not to have run
+    int invalid = 0;         ///< with a status that no answer has
+    int failed = 0;          ///< 502
+    std::string cut_uploads; ///< sizes of requests with cut or mixed answers
 };
 
 void start_endpoints(installation& site)
@@ -135,6 +137,73 @@
     return seen;
 }
 
+/// Sends a body to a host.
+httplib::Result upload(const installation& site, const std::string& host,
+                       const std::string& path, const std::string& fault,
+                       std::size_t size)
+{
+    const httplib::Headers headers{{"Host", "a.example"},
+                                   {"Request-Id", installation::next_id()},
+                                   {"Deadline-Ms", "3000"},
+                                   {"Authorization", "Token k2"},
+                                   {"Fault", fault}};
+    return site.caller_client(host).Post(path, headers, std::string(size, 'u'),
+                                         "text/plain");
+}
+
+/// Configuration whose callers may send long bodies.
+json with_long_bodies()
+{
+    return {{"limits",
+             {{"maxHeaderBytes", 4096},
+              {"maxBodyBytes", 8000000},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}}};
+}
+
+/// Sizes around those of the buffers between a host and an endpoint.
+constexpr std::array<std::size_t, 6> upload_sizes{100000,  300000,  1000000,
+                                                  2500000, 4000000, 6000000};
+
+/// An endpoint that leaves unread what its kernel has taken whole can't be told
+/// from one that has read it.
+std::vector<std::size_t> sizes_for(const std::string& fault)
+{
+    constexpr std::size_t beyond_receive_buffer = 1000000;
+    std::vector<std::size_t> sizes(upload_sizes.begin(), upload_sizes.end());
+    if (fault == "early_linger")
+        std::erase_if(sizes,
+                      [](std::size_t each)
+                      {
+                          return each < beyond_receive_buffer;
+                      });
+    return sizes;
+}
+
+/// Uploads of all sizes, one after the other.
+tally upload_all(const installation& site, const std::string& host,
+                 const std::string& path, const std::string& expected,
+                 const std::string& fault)
+{
+    tally seen;
+    for (const auto size : sizes_for(fault))
+    {
+        // Endpoints that have failed are avoided for a moment.
+        wait_until(
+            [&]
+            {
+                const auto answer = upload(site, host, path, "text", 4);
+                return answer && answer->status == 200;
+            });
+        tally one;
+        count(one, upload(site, host, path + "x", fault, size), expected);
+        add(seen, one);
+        if (one.cut + one.mixed != 0)
+            seen.cut_uploads += std::to_string(size) + " ";
+    }
+    return seen;
+}
+
 /// The bytes of an answer, and how its connection ended.
 struct raw_answer
 {
@@ -410,3 +479,73 @@
         CHECK(seen.whole == (fault == "interim" ? seen.answers : 0));
     }
 }
+
+TEST_CASE("an answer that breaks off while the request is written does not "
+          "look whole",
+          "[broken][early]")
+{
+    installation site(with_long_bodies());
+    start_endpoints(site);
+    const std::string fault =
+        GENERATE("early_reset", "early_close", "early_linger");
+    INFO("fault " << fault);
+    for (const std::string path :
+         {"/stream/", "/stream/resumed/", "/book/", "/read/"})
+    {
+        INFO(path);
+        const auto seen = upload_all(
+            site, "h1", path,
+            path.starts_with("/stream/") ? whole_stream : whole_plain, fault);
+        CHECK(seen.answers == static_cast<int>(sizes_for(fault).size()));
+        CHECK(seen.cut_uploads == "");
+        if (path != "/stream/resumed/")
+            CHECK(seen.whole == 0);
+        if (path == "/stream/" || path == "/book/")
+            CHECK(static_cast<int>(site.runs(path + "x").size()) +
+                      seen.refused ==
+                  seen.answers);
+    }
+}
+
+TEST_CASE("an answer that breaks off at a relay while the request is written "
+          "does not look whole",
+          "[broken][early][relay]")
+{
+    installation site(with_long_bodies(), 1);
+    for (int i = 1; i <= endpoints_per_service; ++i)
+    {
+        site.start_irregular_replica("e-" + std::to_string(i), "pool");
+        site.start_irregular_replica("d-" + std::to_string(i), "desk");
+    }
+    site.link_view(1);
+    site.start_host("c1", "graceS = 8", 1);
+    site.start_host("o1");
+    site.set_links(1, "refuse");
+    for (const std::string path : {"/stream/", "/read/"})
+        REQUIRE(wait_until(
+            [&]
+            {
+                const auto answer = upload(site, "c1", path, "text", 4);
+                return answer && answer->status == 200;
+            }));
+    const std::string fault =
+        GENERATE("early_reset", "early_close", "early_linger");
+    INFO("fault " << fault);
+    for (const std::string path :
+         {"/stream/", "/stream/resumed/", "/book/", "/read/"})
+    {
+        INFO(path);
+        const auto seen = upload_all(
+            site, "c1", path,
+            path.starts_with("/stream/") ? whole_stream : whole_plain, fault);
+        CHECK(seen.answers == static_cast<int>(sizes_for(fault).size()));
+        CHECK(seen.cut_uploads == "");
+        if (path != "/stream/resumed/")
+            CHECK(seen.whole == 0);
+        CHECK(!site.runs(path + "x").empty());
+        if (path == "/stream/" || path == "/book/")
+            CHECK(static_cast<int>(site.runs(path + "x").size()) +
+                      seen.refused <=
+                  seen.answers);
+    }
+}
--- a/tests/standin/irregular.cpp
+++ b/tests/standin/irregular.cpp
@@ -23,6 +23,11 @@
 //   interims      the same after many of them
 //   interim_body  the same after a head with status 103, a length and a body
 //                 that reads like an answer
+//   early_reset   a part without a length, before the body of the request is
+//                 read, then a reset of the connection
+//   early_close   the same, but the end is orderly and the kernel's reset for
+//                 what was left unread follows
+//   early_linger  the same, but the rest is left unread for a while
 //   unidentified  a refusal without the request's id; it is sent once more when
 //                 the next request arrives on the connection
 //
@@ -204,6 +209,33 @@
         send_interim(socket, request, "");
 }
 
+bool is_early(const std::string& fault)
+{
+    return fault.starts_with("early_");
+}
+
+/// Sends a part of an answer and ends the connection, whatever the caller still
+/// writes.
+void send_early(int socket, const std::string& request,
+                const std::string& fault)
+{
+    const bool stream =
+        standin::path_of(request).find("/stream/") != std::string::npos;
+    write_all(
+        socket,
+        answer_head(request, "200 OK",
+                    stream ? "text/event-stream" : "text/plain", "") +
+            (stream ? event(1) + event(2) : std::string(plain_size / 2, 'x')));
+    standin::delay(milliseconds(FLAGS_gap_ms));
+    if (fault == "early_reset")
+        reset(socket);
+    else
+        ::shutdown(socket, SHUT_WR);
+    constexpr int long_gaps = 100;
+    standin::delay(milliseconds(FLAGS_gap_ms) *
+                   (fault == "early_linger" ? long_gaps : 1));
+}
+
 std::string fault_of(const std::string& request)
 {
     const bool resumes = !header_value(request, "Last-Event-Id").empty();
@@ -215,6 +247,11 @@
     return fault.substr(at + 1) == FLAGS_id ? fault.substr(0, at) : "";
 }
 
+bool is_answered_early(const std::string& head)
+{
+    return is_early(fault_of(head));
+}
+
 /// Answers one request; the connection ends with the answer unless it was
 /// refused.
 /// @return whether the connection can carry another one
@@ -239,6 +276,8 @@
         send_large_error(socket, request);
     else if (fault.starts_with(status))
         send_text(socket, request, fault.substr(status.size()) + " Strange");
+    else if (is_early(fault))
+        send_early(socket, request, fault);
     else if (fault == "text")
         send_text(socket, request, "200 OK");
     else if (path.find("/stream/") == std::string::npos)
@@ -252,7 +291,7 @@
 {
     for (std::string previous;;)
     {
-        const auto request = standin::read_request(socket);
+        const auto request = standin::read_request(socket, is_answered_early);
         if (request.empty())
             break;
         if (fault_of(previous) == "unidentified" && !write_all(socket, refusal))
--- a/tests/standin/raw_http.hpp
+++ b/tests/standin/raw_http.hpp
@@ -38,8 +38,11 @@
 }
 
 /// Reads a request with a Content-Length.
+/// @param[in] head_suffices  asked once the head has arrived; the body is then
+///                           left unread
 /// @return an empty text if the connection ends before
-inline std::string read_request(int socket)
+inline std::string
+read_request(int socket, bool (*head_suffices)(const std::string&) = nullptr)
 {
     std::string request;
     std::array<char, 4096> bytes{};
@@ -47,6 +50,8 @@
     {
         if (const auto end = request.find("\r\n\r\n"); end != std::string::npos)
         {
+            if (head_suffices != nullptr && head_suffices(request))
+                return request;
             const std::string name = "Content-Length: ";
             const auto length = request.find(name);
             const auto body =
--- a/tests/unit/unit-answer-end.cpp
+++ b/tests/unit/unit-answer-end.cpp
@@ -60,6 +60,24 @@
         }
 }
 
+TEST_CASE("a body that its connection delimits is broken off if the request "
+          "was not read")
+{
+    for (const bool event_stream : {false, true})
+        for (const auto process : processes)
+        {
+            answer_end end;
+            end.close_delimited = true;
+            end.event_stream = event_stream;
+            end.any_event = event_stream;
+            end.process = process;
+            end.request_unread = true;
+            CHECK_FALSE(is_whole(end));
+            end.close_delimited = false;
+            CHECK(is_whole(end));
+        }
+}
+
 TEST_CASE("a stream that its connection delimits and that has no event is "
           "broken off")
 {
