An interim head leaves no answer to the next call to the store or a peer

Seen: nothing in a fleet; found by reading what else takes statuses. A call whose answer began with an interim head ended with status 103, its connection was kept, and the answer that followed was taken for the next call's.

Cause: http_link read one head and kept the connection, whatever its status.

Change: an answer whose status is not from 200 to 599 closes the connection, and the call counts as one that may have been executed.

--- a/src/store/http_link.cpp
+++ b/src/store/http_link.cpp
@@ -10,7 +10,8 @@
 #include <boost/beast/http/string_body.hpp> // string_body
 #include <boost/beast/http/write.hpp>       // async_write
 
-#include <platform/store_calls.hpp> // decode_era
+#include <platform/store_calls.hpp>                      // decode_era
+#include <rhubarbgrade/detail/routing/answer_status.hpp> // kind_of_status
 
 #include "socket_options.hpp" // is_alive, set_tcp_options
 
@@ -111,7 +112,14 @@
         failed.too_large = read_fault == http::error::body_limit;
         co_return failed;
     }
-    call_result result{call_outcome::answered, parser.get().result_int(),
+    const auto status = parser.get().result_int();
+    // The answer may follow, and would be taken for the next call's.
+    if (kind_of_status(status, false) != status_kind::final)
+    {
+        close();
+        co_return call_result{call_outcome::unknown, 0, {}, 0};
+    }
+    call_result result{call_outcome::answered, status,
                        std::move(parser.get().body()),
                        platform::decode_era(parser.get())};
     if (!parser.keep_alive() || m_buffer.size() != 0)
