--- a/src/store/socket_options.hpp
+++ b/src/store/socket_options.hpp
@@ -27,4 +27,8 @@
 /// @brief Whether bytes have been received that are not read yet.
 bool has_unread(boost::asio::ip::tcp::socket& socket);
 
+/// @brief Whether the peer has ended its side in an orderly way, received all
+///        that was sent to it, and not reset the connection since.
+bool ended_after_all(boost::asio::ip::tcp::socket& socket);
+
 } // namespace rhubarbgrade
