--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -300,11 +300,7 @@
                     const std::string& bounds = "graceS = 8", int view = 0,
                     const std::vector<std::string>& options = {})
     {
-        const auto path = write_settings(name, bounds, view);
-        std::vector<std::string> command{build_folder() + "/rhubarbgrade_node"};
-        command.insert(command.end(), options.begin(), options.end());
-        command.push_back(path);
-        m_hosts[name] = std::make_unique<process>(command, log_path(name));
+        spawn_host(name, bounds, view, options);
         REQUIRE(wait_until(
             [&]
             {
@@ -312,6 +308,19 @@
             }));
     }
 
+    /// Starts a host and doesn't wait until it is ready. A host of that name
+    /// that has ended is replaced.
+    void spawn_host(const std::string& name,
+                    const std::string& bounds = "graceS = 8", int view = 0,
+                    const std::vector<std::string>& options = {})
+    {
+        const auto path = write_settings(name, bounds, view);
+        std::vector<std::string> command{build_folder() + "/rhubarbgrade_node"};
+        command.insert(command.end(), options.begin(), options.end());
+        command.push_back(path);
+        m_hosts[name] = std::make_unique<process>(command, log_path(name));
+    }
+
     int store_port() const
     {
         return m_store->port();
