--- a/tests/integration/integration-planned-work.cpp
+++ b/tests/integration/integration-planned-work.cpp
@@ -297,7 +297,7 @@
 
     void spawn(int host)
     {
-        constexpr int quick_stop_percent = 15;
+        constexpr int quick_stop_percent = 30;
         constexpr int quick_stop_ms = 400;
         constexpr int early_change_percent = 20;
         const auto name = "h" + std::to_string(host + 1);
@@ -730,9 +730,11 @@
 void planned_work::fail(const std::string& kind, const soak_request& request,
                         const std::vector<json>& runs)
 {
-    constexpr std::size_t most_described = 12;
-    fail(kind, m_failures.size() < most_described ? describe(request, runs)
-                                                  : request.id);
+    constexpr int most_described = 3;
+    const auto name = kind + " [" + name_of(request.pace) + "]";
+    fail(name, m_tally["FAILED " + name] < most_described
+                   ? describe(request, runs)
+                   : request.id);
 }
 
 void planned_work::judge_answer(const soak_request& request,
@@ -776,9 +778,13 @@
         m_processes[static_cast<std::size_t>(request.instance)];
     const bool stream = request.path.starts_with("/stream/");
     const auto limit = stream ? stream_limit_ms : plain_limit_ms;
-    if (request.given_up ||
-        request.ended_at - std::max(request.begun_at, request.due_from) >=
-            limit)
+    if (request.given_up)
+    {
+        fail("held past its limit", request, runs);
+        return;
+    }
+    if (request.ended_at - std::max(request.begun_at, request.due_from) >=
+        limit)
     {
         ++m_tally["unanswered at the time limit"];
         return;
