Soak: a connection closed within 200 ms of an answer that kept it open fails

Why: a client that is told that its connection stays open may use it at once; a request that crosses the close is counted, not failed, so the fault did not show by itself.

--- a/tests/integration/integration-planned-work.cpp
+++ b/tests/integration/integration-planned-work.cpp
@@ -599,6 +599,7 @@
                       const std::vector<json>& runs);
     void judge_unanswered(const soak_request& request,
                           const std::vector<json>& runs);
+    void judge_closings();
     void judge_processes();
     void judge_endpoints(const json& run);
     void fail(const std::string& kind, const std::string& text);
@@ -786,7 +787,10 @@
     if (request.ended_at - std::max(request.begun_at, request.due_from) >=
         limit)
     {
-        ++m_tally["unanswered at the time limit"];
+        constexpr int most_described = 3;
+        if (m_tally["unanswered at the time limit"]++ < most_described)
+            std::cout << "unanswered at the time limit: "
+                      << describe(request, runs);
         return;
     }
     if (ran && stream && process.stopped_at != 0 &&
@@ -836,6 +840,27 @@
         judge_unanswered(request, runs);
 }
 
+/// A client that is told that its connection stays open may use it at once.
+void planned_work::judge_closings()
+{
+    for (const auto& closing : m_clients->closings())
+    {
+        const auto& process =
+            m_processes[static_cast<std::size_t>(closing.instance)];
+        if (process.stopped_at != 0 &&
+            closing.ended_at >=
+                process.stopped_at + process.grace_ms().first * 5 / 6)
+            continue;
+        std::ostringstream text;
+        text << "seed " << m_seed << " after request " << closing.last_id
+             << " host " << process.host << " answered "
+             << closing.answered_at - m_started_at << " closed "
+             << closing.ended_at - m_started_at << " SIGTERM "
+             << process.stopped_at - m_started_at << "\n";
+        fail("closed though kept open", text.str());
+    }
+}
+
 void planned_work::judge_processes()
 {
     for (const auto& process : m_processes)
@@ -895,6 +920,7 @@
     if (m_clients->counts().unasked_bytes != 0)
         fail("unasked bytes",
              std::to_string(m_clients->counts().unasked_bytes));
+    judge_closings();
     judge_processes();
     m_summary << "soak seed=" << m_seed << " hosts=" << m_host_count
               << " endpoints=" << m_endpoints.size()
--- a/tests/integration/soak_clients.hpp
+++ b/tests/integration/soak_clients.hpp
@@ -62,6 +62,16 @@
     std::optional<raw_answer> answer;
 };
 
+/// A connection that its host closed though its last answer, just before, had
+/// not announced that.
+struct soak_closing
+{
+    int instance = 0;
+    std::string last_id; ///< of the request that was answered last
+    long long answered_at = 0;
+    long long ended_at = 0;
+};
+
 /// Where and what the clients of a soak may send now.
 struct soak_offer
 {
@@ -133,6 +143,11 @@
         return m_requests;
     }
 
+    const std::list<soak_closing>& closings() const
+    {
+        return m_closings;
+    }
+
     const soak_counts& counts() const
     {
         return m_counts;
@@ -154,7 +169,9 @@
         std::unique_ptr<raw_connection> connection;
         long long opened_at = 0;
         long long open_until = 0;
-        int answered = 0; ///< on this connection
+        int answered = 0;    ///< on this connection
+        std::string last_id; ///< of the request that was answered last
+        long long last_answered_at = 0;
         bool close_announced = false;
         std::deque<part> parts;               ///< still to be sent
         std::deque<soak_request*> waiting;    ///< for answers
@@ -261,6 +278,8 @@
             status = request.answer->status;
             each.close_announced =
                 each.close_announced || request.answer->closes_connection();
+            each.last_id = request.id;
+            each.last_answered_at = now;
             each.waiting.pop_front();
             if (!each.waiting.empty())
                 each.waiting.front()->due_from = now;
@@ -276,6 +295,7 @@
             status == 0 || status == ok ? pause_of(each) : refused_wait(each);
         if (connection.ended())
         {
+            note_closing(each, now);
             if (each.waiting.empty() && !each.close_announced)
                 ++m_counts.closed_idle;
             for (auto* const request : each.waiting)
@@ -294,6 +314,17 @@
         }
     }
 
+    void note_closing(const client& each, long long now)
+    {
+        constexpr long long slack_ms = 200; // bounds.lossSlackMs
+        if (each.answered == 0 || each.close_announced ||
+            now - each.last_answered_at > slack_ms)
+            return;
+        const std::lock_guard lock(m_mutex);
+        m_closings.push_back(
+            {each.instance, each.last_id, each.last_answered_at, now});
+    }
+
     static int pause_of(client& each)
     {
         constexpr int short_pause = 250;
@@ -384,6 +415,7 @@
             each.connection->read();
             if (each.connection->ended())
             {
+                note_closing(each, monotonic_ms());
                 ++m_counts.closed_idle;
                 leave(each, 0);
             }
@@ -478,6 +510,7 @@
     std::mutex m_mutex;
     soak_offer m_offer;
     std::list<soak_request> m_requests;
+    std::list<soak_closing> m_closings;
     soak_counts m_counts;
     std::vector<std::thread> m_threads;
 };
