Soak: more connections at the stand-ins at scale; no excuse by time for what never ran

Rule 2 has no exception for the time limit, so a request that never ran and whose connection closed after its limit fails now, too. The threads of the stand-ins follow from the scale.

--- a/tests/integration/installation.hpp
+++ b/tests/integration/installation.hpp
@@ -35,16 +35,20 @@
 public:
     /// @param[in] overrides  replace members of the first configuration
     /// @param[in] views      number of hosts with links of their own
-    explicit installation(const json& overrides = json::object(), int views = 0)
+    /// @param[in] store_options  further options of the store's stand-in
+    explicit installation(const json& overrides = json::object(), int views = 0,
+                          const std::vector<std::string>& store_options = {})
     {
         m_folder = fs::temp_directory_path() /
                    ("rhubarbgrade-node-" + std::to_string(::getpid()) + "-" +
                     std::to_string(++installation_count));
         fs::create_directories(m_folder);
-        m_store = std::make_unique<process>(
-            std::vector<std::string>{build_folder() + "/tests/standin_store",
-                                     "--views=" + std::to_string(views)},
-            log_path("store"));
+        std::vector<std::string> command{build_folder() +
+                                             "/tests/standin_store",
+                                         "--views=" + std::to_string(views)};
+        command.insert(command.end(), store_options.begin(),
+                       store_options.end());
+        m_store = std::make_unique<process>(command, log_path("store"));
         publish_configuration(1, overrides);
     }
 
@@ -148,13 +152,14 @@
 
     /// Starts an endpoint and lists it as ready.
     void start_replica(const std::string& id, const std::string& service,
-                       const std::string& zone = "z1")
+                       const std::string& zone = "z1",
+                       const std::vector<std::string>& options = {})
     {
-        m_replicas[id] = std::make_unique<process>(
-            std::vector<std::string>{build_folder() + "/tests/standin_replica",
-                                     "--id=" + id,
-                                     "--record=" + event_file().string()},
-            log_path(id));
+        std::vector<std::string> command{
+            build_folder() + "/tests/standin_replica", "--id=" + id,
+            "--record=" + event_file().string()};
+        command.insert(command.end(), options.begin(), options.end());
+        m_replicas[id] = std::make_unique<process>(command, log_path(id));
         list_replica(id, service, "ready", "v1", 8, zone);
     }
 
--- a/tests/integration/integration-planned-work.cpp
+++ b/tests/integration/integration-planned-work.cpp
@@ -283,6 +283,14 @@
            });
     }
 
+    /// A host keeps some connections to each of the stand-ins.
+    static int connections_of(int scale)
+    {
+        constexpr int least = 80;
+        constexpr int each = 20;
+        return least + each * scale;
+    }
+
     static std::string bounds_of(int grace_s)
     {
         return "graceS = " + std::to_string(grace_s);
@@ -526,7 +534,9 @@
     {
         constexpr int slots = 64;
         endpoint added{"i-" + std::to_string(++m_endpoint_count), service, 0};
-        m_site.start_replica(added.id, service);
+        m_site.start_replica(
+            added.id, service, "z1",
+            {"--threads=" + std::to_string(connections_of(m_scale))});
         m_site.set_replica_fault(added.id,
                                  {{"delay_ms", draw_of({5, 20, 60, 200, 1000})},
                                   {"gap_ms", draw_of({10, 30, 100, 300, 1000})},
@@ -630,7 +640,10 @@
     int m_versions = 0;
     int m_leavings = 0;
     int m_freeze_count = 0;
-    installation m_site;
+    installation m_site{
+        json::object(),
+        0,
+        {"--connections=" + std::to_string(200 + connections_of(m_scale))}};
     std::vector<endpoint> m_endpoints;
     std::vector<host_process> m_processes;
     std::map<int, std::size_t> m_current; ///< process of each host
@@ -784,8 +797,9 @@
         fail("held past its limit", request, runs);
         return;
     }
-    if (request.ended_at - std::max(request.begun_at, request.due_from) >=
-        limit)
+    if ((ran || request.answer) &&
+        request.ended_at - std::max(request.begun_at, request.due_from) >=
+            limit)
     {
         constexpr int most_described = 3;
         if (m_tally["unanswered at the time limit"]++ < most_described)
--- a/tests/standin/replica.cpp
+++ b/tests/standin/replica.cpp
@@ -33,6 +33,7 @@
 
 DEFINE_int32(port, 0, "port to listen on; 0 lets the kernel choose one");
 DEFINE_string(id, "i-1", "id of this process, compared with Expect-Instance");
+DEFINE_int32(threads, 100, "connections that are served at once");
 DEFINE_string(record, "/dev/null", "file that runs are appended to");
 
 using nlohmann::json;
@@ -72,7 +73,8 @@
     {
         m_server.new_task_queue = []
         {
-            return new httplib::ThreadPool(100);
+            return new httplib::ThreadPool(
+                static_cast<std::size_t>(FLAGS_threads));
         };
         m_server.set_keep_alive_max_count(1000000);
         m_server.Put("/fault",
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -37,6 +37,8 @@
 
 DEFINE_int32(port, 0, "port to listen on; 0 lets the kernel choose one");
 DEFINE_int32(views, 0, "further ports, each with its own addresses");
+// Each open connection occupies a thread; a host keeps up to six.
+DEFINE_int32(connections, 300, "connections that are served at once");
 
 using nlohmann::json;
 using std::chrono::milliseconds;
@@ -46,9 +48,6 @@
 
 constexpr std::size_t page_size = 5; // small, so that tests read several pages
 
-// Each open connection occupies a thread; a host keeps up to six.
-constexpr std::size_t max_connections = 300;
-
 struct change
 {
     std::uint64_t revision = 0;
@@ -285,7 +284,8 @@
     {
         m_server.new_task_queue = []
         {
-            return new httplib::ThreadPool(max_connections);
+            return new httplib::ThreadPool(
+                static_cast<std::size_t>(FLAGS_connections));
         };
         m_server.set_keep_alive_max_count(1000000);
         m_server.set_pre_routing_handler(
