--- a/tests/integration/integration-planned-work.cpp
+++ b/tests/integration/integration-planned-work.cpp
@@ -815,6 +815,13 @@
         ++m_tally["streams broken off at the end of the grace period"];
         return;
     }
+    // Nothing can follow a part of an answer, which is judged by itself.
+    if (!ran && request.before != nullptr && request.before->answer &&
+        !request.before->answer->complete)
+    {
+        ++m_tally["behind an answer that was broken off"];
+        return;
+    }
     const bool begun = request.answer.has_value();
     const auto waited = request.open_until - request.sent_at;
     const auto slack =
--- a/tests/integration/soak_clients.hpp
+++ b/tests/integration/soak_clients.hpp
@@ -48,6 +48,8 @@
     client_pace pace = client_pace::eager;
     bool on_kept_connection = false;
     bool second_of_pair = false;
+    /// The request that it was sent along with, whose answer comes first.
+    const soak_request* before = nullptr;
     long long limit_ms = 0; ///< its own time limit
     long long begun_at = 0;
     /// The answer before it on the connection; its time may count from here.
@@ -497,6 +499,8 @@
             "\r\n\r\n" + request.body;
         const std::lock_guard lock(m_mutex);
         auto& added = m_requests.emplace_back(std::move(request));
+        if (second_of_pair)
+            added.before = each.waiting.back();
         each.waiting.push_back(&added);
         each.being_sent.push_back(&added);
         return bytes;
