A request that came along with the one before it is served from the buffer

What callers saw: of two requests that arrive in one segment the second got neither an answer nor a refusal, at a calm host too, until its connection timed out or another byte came. At a host that stops it was dropped.

Cause: as a request is served, a read is begun to notice that the caller leaves. It was begun although the next request lay in the buffer already, and the connection then waited for that read to end, not for a request to be there.

Change: nothing is read ahead while input is in the buffer. That its caller leaves is then noticed with the next read, after the request being served.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -28,11 +28,11 @@
 
 constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
 
-/// Bytes that are read while a request is being processed: a pipelined request
-/// is accepted, but not much more of it than its header.
-constexpr std::size_t max_read_ahead = 16384;
 constexpr std::size_t read_size = 4096;
-constexpr std::size_t min_input_size = max_read_ahead + read_size;
+
+/// Least size of an input buffer; the header limit of the configuration may
+/// raise it.
+constexpr std::size_t min_input_size = 5 * read_size;
 
 /// Time for which a connection is still read from after the last response.
 /// Closing it with unread bytes would reset it, and the caller could lose the
@@ -268,7 +268,8 @@
 
 void caller_session::start_input_read()
 {
-    if (m_read_pending || m_disconnected || m_buffer.size() >= max_read_ahead)
+    // The next request is served from the buffer, and may need it to grow.
+    if (m_read_pending || m_disconnected || m_buffer.size() != 0)
         return;
     const auto capacity = capacity_after_read(m_buffer);
     auto wanted = m_share.held;
