--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -69,8 +69,7 @@
     /// @param[in] handler  may be empty
     void on_disconnect(std::function<void()> handler);
 
-    /// @brief Whether the next answer has to announce the end of the
-    /// connection:
+    /// @brief Whether the next answer has to announce that the connection ends:
     ///        the host stops, and no other request has begun to arrive or there
     ///        is no time left for it.
     bool ends_after_answer();
