--- a/tests/integration/integration-endless-bytes.cpp
+++ b/tests/integration/integration-endless-bytes.cpp
@@ -14,8 +14,10 @@
 #include <nlohmann/json.hpp>
 
 #include "installation.hpp"
+#include "memory.hpp"
 
 using harness::installation;
+using harness::peak_memory_kb;
 using harness::wait_until;
 
 namespace
@@ -24,18 +26,6 @@
 /// Memory that a host may need.
 constexpr long max_memory_kb = 64L * 1024;
 
-/// The most memory that a process has had in its life, in kB.
-long peak_memory_kb(pid_t pid)
-{
-    const std::string name = "VmHWM:";
-    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(in, line);)
-        if (line.starts_with(name))
-            return std::stol(line.substr(name.size()));
-    FAIL("no peak memory of process " << pid);
-    return 0;
-}
-
 /// Whether the endpoint has seen all its connections of a path closed.
 bool all_closed(const installation& site, const std::string& path)
 {
--- /dev/null
+++ b/tests/integration/integration-odd-entries.cpp
@@ -0,0 +1,103 @@
+// Entries of other writers that stand in the list of endpoints before a host
+// starts. Such an entry names no endpoint; all others must be served, whatever
+// the entry is called and wherever it stands in the pages of the list.
+
+#include <fstream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "installation.hpp"
+#include "memory.hpp"
+
+using harness::installation;
+using harness::peak_memory_kb;
+using harness::wait_until;
+using nlohmann::json;
+
+namespace
+{
+
+/// Memory that a host may need.
+constexpr long max_memory_kb = 64L * 1024;
+
+/// Objects on a page of the stand-in for the store.
+constexpr int page_size = 5;
+
+const json odd_spec{{"service", "desk"}};
+
+std::string endpoint_name(int number)
+{
+    return "i-" + std::to_string(number);
+}
+
+/// Endpoints that fill more than one page.
+std::set<std::string> list_endpoints(installation& site)
+{
+    std::set<std::string> names;
+    for (int i = 0; i < page_size + 2; ++i)
+    {
+        names.insert(endpoint_name(i));
+        site.start_replica(endpoint_name(i), "desk");
+    }
+    return names;
+}
+
+/// Sends requests until each endpoint has run one.
+/// @return the endpoints that have run a request in time
+std::set<std::string> serving_endpoints(const installation& site,
+                                        std::size_t expected)
+{
+    constexpr int serve_ms = 8000;
+    std::set<std::string> serving;
+    wait_until(
+        [&]
+        {
+            const auto answer = site.call("h1", "/read/x");
+            if (answer && answer->status == 200)
+                serving.insert(
+                    answer->get_header_value("Response-Signature").substr(2));
+            return serving.size() == expected;
+        },
+        serve_ms);
+    return serving;
+}
+
+/// Starts a host and checks that it uses exactly the endpoints of @a names.
+void check_serves(installation& site, const std::set<std::string>& names)
+{
+    site.spawn_host("h1");
+    CHECK(serving_endpoints(site, names.size()) == names);
+    CHECK(peak_memory_kb(site.host("h1").pid()) < max_memory_kb);
+}
+
+} // namespace
+
+TEST_CASE("an entry of any name ends a page of the list", "[odd-entries][last]")
+{
+    const auto rest =
+        GENERATE(as<std::string>{}, "&", "&after=i-6", "#", "+", "%", "%41",
+                 "%ff", " x", "/", "?", "\"", "\\", "\r\nX: 1",
+                 std::string(1, '\0'), "\x7f", "\u00e9");
+    INFO("i-3" << rest);
+    installation site;
+    const auto names = list_endpoints(site);
+    // The last one of the first page.
+    site.upsert_object("servers", "i-3" + rest, odd_spec);
+    check_serves(site, names);
+}
+
+TEST_CASE("entries of any name fill a page of the list", "[odd-entries][fill]")
+{
+    const auto first =
+        GENERATE(as<std::string>{}, "&", "#", "+", " ", "\r\n", "%7e", "?");
+    INFO(first);
+    installation site;
+    for (int i = 0; i < page_size; ++i)
+        site.upsert_object("servers", first + std::to_string(i), odd_spec);
+    check_serves(site, list_endpoints(site));
+}
--- a/tests/integration/integration-untrusted-clients.cpp
+++ b/tests/integration/integration-untrusted-clients.cpp
@@ -20,9 +20,11 @@
 #include <nlohmann/json.hpp>
 
 #include "installation.hpp"
+#include "memory.hpp"
 #include "until.hpp"
 
 using harness::installation;
+using harness::peak_memory_kb;
 
 namespace
 {
@@ -44,18 +46,6 @@
 /// Connections that exceed the machine's descriptors.
 constexpr std::size_t silent_crowd_size = 300;
 
-/// The most memory that a process has had in its life, in kB.
-long peak_memory_kb(pid_t pid)
-{
-    const std::string name = "VmHWM:";
-    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(in, line);)
-        if (line.starts_with(name))
-            return std::stol(line.substr(name.size()));
-    FAIL("no peak memory of process " << pid);
-    return 0;
-}
-
 struct descriptor_count
 {
     std::size_t sockets = 0; ///< and pipes
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -14,9 +14,11 @@
 //               tenth, others ten
 //
 // Faults do not apply to calls with the header X-Operator; "compact" drops the
-// history that watches read from.
+// history that watches read from. A host's call gets 400 if its target has
+// characters that a URI has only when they are encoded.
 
 #include <atomic>
+#include <cctype>
 #include <chrono>
 #include <condition_variable>
 #include <deque>
@@ -26,6 +28,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include <gflags/gflags.h>
@@ -368,6 +371,30 @@
     static constexpr auto unhandled =
         httplib::Server::HandlerResponse::Unhandled;
 
+    /// Whether a request target has only characters that a URI may have, and
+    /// each "%" begins an encoded byte.
+    static bool is_valid(std::string_view target)
+    {
+        constexpr std::string_view allowed = "-._~:/?@!$&'()*+,;=";
+        for (std::size_t i = 0; i < target.size(); ++i)
+        {
+            const auto next = static_cast<unsigned char>(target[i]);
+            if (next == '%')
+            {
+                if (i + 2 >= target.size() ||
+                    std::isxdigit(target[i + 1]) == 0 ||
+                    std::isxdigit(target[i + 2]) == 0)
+                    return false;
+                i += 2;
+            }
+            else if (next > 0x7e ||
+                     (std::isalnum(next) == 0 &&
+                      allowed.find(target[i]) == std::string_view::npos))
+                return false;
+        }
+        return true;
+    }
+
     // Delays or refuses a call before it is routed.
     httplib::Server::HandlerResponse
     apply_faults(const httplib::Request& request, httplib::Response& response)
@@ -383,6 +410,11 @@
         }
         if (active_faults.silent_ms != 0)
             standin::delay(milliseconds(active_faults.silent_ms));
+        if (!is_valid(request.target))
+        {
+            response.status = 400;
+            return handled;
+        }
         if (active_faults.refuse == 0)
             return unhandled;
         response.status = active_faults.refuse;
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -465,3 +465,17 @@
     CHECK_FALSE(decode("-1"));
     CHECK_FALSE(decode("\"4\""));
 }
+
+TEST_CASE("a name of any bytes is one part of a request target", "[adapter]")
+{
+    using namespace platform;
+    CHECK(list_target("servers", "") == "/api/objects/servers");
+    CHECK(list_target("servers", "i-7.a_b~") ==
+          "/api/objects/servers?after=i-7.a_b~");
+    CHECK(list_target("servers", "&a=1#+ %", true) ==
+          "/api/objects/servers?after=%26a%3D1%23%2B%20%25&serializable=1");
+    CHECK(object_target("escrow", "a/b?c", true) ==
+          "/api/objects/escrow/a%2Fb%3Fc?serializable=1");
+    CHECK(status_target("rollouts", std::string("\r\n\0\xff", 4)) ==
+          "/api/objects/rollouts/%0D%0A%00%FF/status");
+}
