List: go on behind the last object of a page, readable or not

Callers were refused (503) while objects whose metadata can't be read filled a page of the endpoint list: the endpoints behind that page were never found, and a running host took them for removed.

Cause: the position of the next page was the last object that could be decoded. A page without one ended the list as if it were whole, and nothing checked that a page led behind the earlier ones, so that a list could be read for ever.

Change: decode_list gives the name of the last object that has one, by its bytes, whatever else is wrong with it. page_cursor, a decision without I/O, ends a list whose page names no position or one passed before. Such a list (more is set, event=list_incomplete) removes nothing, does not count as a position that other hosts take the endpoints from, and is read again once something of its kind has changed, at most every 2 s. The objects of a list are still freed before the watch.

--- a/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
@@ -87,6 +87,11 @@
 void remove_endpoint(endpoint_registry& book, std::string_view id,
                      time_point_t now);
 
+/// @brief Inserts or replaces the entries of a list that may lack others.
+void add_endpoints(endpoint_registry& book,
+                   const std::vector<endpoint_entry>& entries,
+                   time_point_t now);
+
 /// @brief Replaces all entries; those not in @a entries are marked as removed.
 void replace_endpoints(endpoint_registry& book,
                        const std::vector<endpoint_entry>& entries,
--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -118,18 +118,23 @@
                                      known->second.seen};
 }
 
+void add_endpoints(endpoint_registry& book,
+                   const std::vector<endpoint_entry>& entries, time_point_t now)
+{
+    if (book.first_listed_at == time_point_t{})
+        book.first_listed_at = now;
+    for (const auto& entry : entries)
+        upsert_endpoint(book, entry, now);
+}
+
 void replace_endpoints(endpoint_registry& book,
                        const std::vector<endpoint_entry>& entries,
                        time_point_t now)
 {
-    if (book.first_listed_at == time_point_t{})
-        book.first_listed_at = now;
+    add_endpoints(book, entries, now);
     std::set<std::string, std::less<>> present;
     for (const auto& entry : entries)
-    {
         present.insert(entry.id);
-        upsert_endpoint(book, entry, now);
-    }
     for (const auto& [id, known] : book.endpoints)
         if (!present.contains(id))
             remove_endpoint(book, id, now);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -326,9 +326,9 @@
     {
         return settled_revision();
     };
-    listener.snapshot = [this](const auto& objects, std::uint64_t)
+    listener.snapshot = [this](const platform::object_page& list)
     {
-        for (const auto& each : objects)
+        for (const auto& each : list.objects)
             if (each.name == platform::configuration_name)
                 apply_configuration(each.spec);
     };
@@ -359,10 +359,10 @@
     {
         return m_position.era == m_store.era() ? m_position.revision : 0;
     };
-    listener.snapshot = [this](const auto& objects, std::uint64_t revision)
+    listener.snapshot = [this](const platform::object_page& list)
     {
         std::vector<endpoint_entry> entries;
-        for (const auto& each : objects)
+        for (const auto& each : list.objects)
         {
             auto entry = platform::decode_endpoint(each);
             if (entry)
@@ -371,13 +371,17 @@
                 report_unusable(each, entry.error());
         }
         const auto now = time_point_t::clock::now();
-        if (m_endpoints_known && m_store.era() != m_listed_era)
+        if (list.more)
+            add_endpoints(m_endpoints, entries, now);
+        else if (m_endpoints_known && m_store.era() != m_listed_era)
             restore_endpoints(m_endpoints, entries, now);
         else
             replace_endpoints(m_endpoints, entries, now);
-        m_listed_era = m_store.era();
+        m_list_incomplete = list.more;
+        if (!m_list_incomplete || m_listed_era == 0)
+            m_listed_era = m_store.era();
         set_endpoints_known(now);
-        set_position({m_store.era(), revision}, now);
+        set_read_position(list.revision, now);
         publish();
         m_peers.hasten_heartbeat();
     };
@@ -431,10 +435,10 @@
     {
         return settled_revision();
     };
-    listener.snapshot = [this, apply_object](const auto& objects, std::uint64_t)
+    listener.snapshot = [this, apply_object](const platform::object_page& list)
     {
         m_moves_known = true;
-        for (const auto& each : objects)
+        for (const auto& each : list.objects)
             apply_object(each);
         publish();
     };
@@ -479,13 +483,15 @@
         const auto& list = m_evacuations.list;
         return list.era == m_store.era() ? list.revision : 0;
     };
-    listener.snapshot = [this, zone_of](const auto& objects, auto revision)
+    listener.snapshot = [this, zone_of](const platform::object_page& list)
     {
-        evacuation_list list{m_store.era(), revision, {}};
-        for (const auto& each : objects)
+        evacuation_list evacuations{m_store.era(), list.revision, {}};
+        if (list.more)
+            evacuations.zones = m_evacuations.list.zones;
+        for (const auto& each : list.objects)
             if (auto zone = zone_of(each))
-                list.zones.insert(std::move(*zone));
-        apply_evacuations(list);
+                evacuations.zones.insert(std::move(*zone));
+        apply_evacuations(evacuations);
     };
     listener.changed = [this, zone_of](const auto& event)
     {
@@ -588,10 +594,17 @@
                                                             : 0;
 }
 
+void node_control::set_read_position(std::uint64_t revision, time_point_t now)
+{
+    // Other hosts take the endpoints from one that has come further.
+    if (!m_list_incomplete)
+        set_position({m_store.era(), revision}, now);
+}
+
 void node_control::reach(std::uint64_t revision)
 {
     const auto now = time_point_t::clock::now();
-    set_position({m_store.era(), revision}, now);
+    set_read_position(revision, now);
     bool changed = false;
     for (auto& [at, change] : m_changes)
         if (change.position == 0)
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -149,6 +149,8 @@
     void confirm_age(const peer_news& news, time_point_t now);
     /// All changes of the endpoints up to a revision have been reported.
     void reach(std::uint64_t revision);
+    /// Sets the position that this host has reached by reading the store.
+    void set_read_position(std::uint64_t revision, time_point_t now);
     void choose_reader(time_point_t now);
     /// Lets this host read the store as soon as its state gets too old.
     boost::asio::awaitable<void> watch_state_age();
@@ -230,6 +232,7 @@
     bool m_moves_known = false;
     std::uint64_t m_told_era = 0;   ///< of the store, in heartbeats
     std::uint64_t m_listed_era = 0; ///< of the store's last endpoint list
+    bool m_list_incomplete = false; ///< whether that list may lack endpoints
 
     /// Fleet size that limits are divided by until the account in the store has
     /// been read.
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -11,6 +11,7 @@
 
 #include <spdlog/spdlog.h> // warn
 
+#include "page_cursor.hpp"  // page_cursor
 #include "store_client.hpp" // store_client
 #include "watch_gate.hpp"   // watch_gate
 #include "watch_margin.hpp" // next_watch_margin
@@ -64,19 +65,24 @@
     milliseconds m_next{min_retry_pause};
 };
 
-/// Reads all pages of a list; empty if a call fails or can't be decoded.
+/// Shortest time between two lists of a kind that can't be read to its end.
+constexpr milliseconds relist_interval{2000};
+
+/// Reads the pages of a list; empty if a call fails or can't be decoded. If a
+/// page names no position behind it, the list ends there, with @c more set.
 asio::awaitable<std::optional<platform::object_page>>
 list_all(store_client& store, const std::string& kind, bool stale_allowed)
 {
     platform::object_page all;
-    std::string after;
+    page_cursor cursor;
     std::uint64_t era = 0;
-    do
+    for (;;)
     {
+        const bool first = cursor.after().empty();
+        auto target =
+            platform::list_target(kind, cursor.after(), stale_allowed);
         const auto response = co_await store.call(
-            call_purpose::list, verb::get,
-            platform::list_target(kind, after, stale_allowed), {},
-            list_timeout);
+            call_purpose::list, verb::get, std::move(target), {}, list_timeout);
         if (!response.is(200))
             co_return std::nullopt;
         auto page = platform::decode_list(response.body);
@@ -89,32 +95,40 @@
             spdlog::warn("event=objects_unreadable kind={} count={}", kind,
                          page->unreadable);
         // Pages of two eras of the store are no list.
-        if (after.empty())
+        if (first)
             era = store.era();
         if (store.era() != era)
             co_return std::nullopt;
         // A watch from the first page's revision also reports the changes that
         // were made while the later pages were read.
-        if (after.empty())
+        if (first)
             all.revision = page->revision;
-        all.more = page->more && !page->objects.empty();
-        if (!page->objects.empty())
-            after = page->objects.back().name;
+        all.more = page->more;
         all.objects.insert(all.objects.end(),
                            std::make_move_iterator(page->objects.begin()),
                            std::make_move_iterator(page->objects.end()));
-    } while (all.more);
-    co_return all;
+        if (!page->more)
+            co_return all;
+        if (!cursor.advance(*page))
+        {
+            spdlog::warn("event=list_incomplete kind={} objects={}", kind,
+                         all.objects.size());
+            co_return all;
+        }
+    }
 }
 
 /// Reports changes from a revision on; returns when the kind has to be listed
-/// again: the history is gone, or the store has begun another one.
+/// again: the history is gone, the store has begun another one, or something
+/// has changed since a list that is not complete.
 asio::awaitable<void> watch_from(store_client& store, watch_gate& gate,
                                  const std::string& kind,
                                  const watch_listener& listener,
-                                 std::uint64_t revision)
+                                 std::uint64_t revision, bool complete)
 {
     constexpr unsigned gone = 410;
+    const auto relist_at = time_point_t::clock::now() + relist_interval;
+    bool changed = false;
     const auto era = store.era();
     auto margin = min_watch_margin;
     retry_pauses pauses;
@@ -169,6 +183,9 @@
             listener.changed(event);
         revision = page->revision;
         listener.reached(revision);
+        changed = changed || !page->events.empty() || page->unreadable != 0;
+        if (!complete && changed && time_point_t::clock::now() >= relist_at)
+            co_return;
         if (!page->events.empty())
             co_await gate.pause(batch_time);
     }
@@ -196,8 +213,11 @@
         }
         pauses.reset();
         if (!stale_allowed || !listener.known())
-            listener.snapshot(std::move(page->objects), page->revision);
-        co_await watch_from(store, gate, kind, listener, page->revision);
+            listener.snapshot(*page);
+        const auto revision = page->revision;
+        const bool complete = !page->more;
+        page.reset(); // a watch may last for hours
+        co_await watch_from(store, gate, kind, listener, revision, complete);
     }
 }
 
--- a/src/store/watcher.hpp
+++ b/src/store/watcher.hpp
@@ -4,11 +4,10 @@
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
-#include <vector>      // vector
 
 #include <boost/asio/awaitable.hpp> // awaitable
 
-#include <platform/store_calls.hpp> // event_page, stored_object
+#include <platform/store_calls.hpp> // object_event, object_page
 
 namespace rhubarbgrade
 {
@@ -20,9 +19,10 @@
 struct watch_listener
 {
     /// All objects of the kind and the store's revision; called at the start
-    /// and each time that the kind has been listed again.
-    std::function<void(std::vector<platform::stored_object>, std::uint64_t)>
-        snapshot;
+    /// and each time that the kind has been listed again. If @c more is set,
+    /// the list could not be read to its end: the objects that it lacks may
+    /// still exist.
+    std::function<void(const platform::object_page&)> snapshot;
     /// One object has been created, changed or removed.
     std::function<void(const platform::object_event&)> changed;
     /// All changes up to a revision of the store have been reported.
@@ -42,7 +42,8 @@
 /// The watch starts at the revision of the list and goes on while the gate is
 /// open. While it is closed, the kind is listed only if the state isn't known,
 /// by a cheaper call whose response may be seconds old. The kind is listed
-/// again when the store has compacted the history from that revision on.
+/// again when the store has compacted the history from that revision on, and
+/// after a change if it could not be read to its end.
 boost::asio::awaitable<void> list_and_watch(store_client& store,
                                             watch_gate& gate, std::string kind,
                                             watch_listener listener);
--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -47,7 +47,7 @@
     return names;
 }
 
-/// Sends requests until each endpoint has run one.
+/// Sends requests until as many endpoints as expected have run one.
 /// @return the endpoints that have run a request in time
 std::set<std::string> serving_endpoints(const installation& site,
                                         std::size_t expected)
@@ -101,3 +101,54 @@
         site.upsert_object("servers", first + std::to_string(i), odd_spec);
     check_serves(site, list_endpoints(site));
 }
+
+TEST_CASE("the list goes on behind objects whose metadata can't be read",
+          "[odd-entries][metadata]")
+{
+    installation site;
+    for (int i = 0; i < page_size; ++i)
+        site.upsert_object("servers", "a" + std::to_string(i), odd_spec);
+    site.set_store_fault({{"hide", "revision"}, {"hidden_from", "a"}});
+    check_serves(site, list_endpoints(site));
+}
+
+TEST_CASE("a list that can't be read to its end removes no endpoint",
+          "[odd-entries][incomplete]")
+{
+    installation site;
+    const auto names = list_endpoints(site);
+    check_serves(site, names);
+    // The second page names nothing that the third could begin behind.
+    for (int i = 0; i < page_size; ++i)
+        site.upsert_object("servers", "i-4x" + std::to_string(i), odd_spec);
+    // A host that waits a moment between two watches loses the history.
+    int changes = 0;
+    REQUIRE(wait_until(
+        [&]
+        {
+            site.upsert_object("servers", "i-4x0", {{"change", ++changes}});
+            site.set_store_fault(
+                {{"hide", "name"}, {"hidden_from", "i-4x"}, {"compact", true}});
+            return site.log_text("h1").find("event=list_incomplete") !=
+                   std::string::npos;
+        }));
+    CHECK(serving_endpoints(site, names.size()) == names);
+
+    // It is watched, and read again once it has changed.
+    site.start_replica("j-1", "desk");
+    site.start_host("h2");
+    auto all = names;
+    all.insert("j-1");
+    CHECK(serving_endpoints(site, all.size()) == all);
+    site.set_store_fault({{"hide", ""}});
+    for (int i = 0; i < page_size; ++i)
+        site.remove_object("servers", "i-4x" + std::to_string(i));
+    CHECK(serving_endpoints(site, all.size()) == all);
+    CHECK(wait_until(
+        [&]
+        {
+            const auto answer = site.call("h2", "/read/last");
+            return answer &&
+                   answer->get_header_value("Response-Signature") == "s.i-6";
+        }));
+}
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -1,8 +1,10 @@
 // Stand-in for the platform's store: objects by kind and name, conditional
 // writes, paged lists, watches, and faults that tests inject.
 //
-//   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, compact,
-//               save, restore, cut_watches}; "save" copies all objects,
+//   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, hide,
+//               hidden_from, compact, save, restore, cut_watches}; "hide" is a
+//               member that the metadata of objects lacks whose names begin
+//               with "hidden_from"; "save" copies all objects,
 //               "restore" goes back to that copy and begins a new era,
 //               "cut_watches" names a kind whose waiting watches are cut off
 //   PUT /addresses  (tests) {ID: ADDRESS}, in place of the addresses that
@@ -67,10 +69,12 @@
 
 struct faults
 {
-    int refuse = 0;       ///< status that all calls fail with, 0: none
-    int silent_ms = 0;    ///< delay of all calls
-    int lose_answers = 0; ///< number of next writes that get no response
-    int late_ms = 0;      ///< delay until such a write is applied
+    int refuse = 0;          ///< status that all calls fail with, 0: none
+    int silent_ms = 0;       ///< delay of all calls
+    int lose_answers = 0;    ///< number of next writes that get no response
+    int late_ms = 0;         ///< delay until such a write is applied
+    std::string hide;        ///< member that metadata lack; empty: none
+    std::string hidden_from; ///< beginning of the names of these objects
 };
 
 class store
@@ -357,14 +361,17 @@
                      });
     }
 
-    /// Replaces the address of an endpoint's entry.
-    void replace_address(json& object)
+    /// Replaces the address of an endpoint's entry, and hides a member of the
+    /// metadata.
+    void apply_view(json& object)
     {
         const std::lock_guard lock(m_mutex);
         const auto name = object["metadata"].value("name", std::string());
         if (object["spec"].is_object() && object["spec"].contains("address") &&
             m_addresses.contains(name))
             object["spec"]["address"] = m_addresses[name];
+        if (name.starts_with(m_faults.hidden_from))
+            object["metadata"].erase(m_faults.hide);
     }
 
     static constexpr auto handled = httplib::Server::HandlerResponse::Handled;
@@ -432,9 +439,12 @@
         if (requested.contains("cut_watches"))
             m_store.cut_watches(requested["cut_watches"]);
         const std::lock_guard lock(m_mutex);
-        m_faults = {
-            requested.value("refuse", 0), requested.value("silent_ms", 0),
-            requested.value("lose_answers", 0), requested.value("late_ms", 0)};
+        m_faults = {requested.value("refuse", 0),
+                    requested.value("silent_ms", 0),
+                    requested.value("lose_answers", 0),
+                    requested.value("late_ms", 0),
+                    requested.value("hide", ""),
+                    requested.value("hidden_from", "")};
     }
 
     void list(const httplib::Request& request, httplib::Response& response)
@@ -444,7 +454,7 @@
         {
             auto page = m_store.list(kind, request.get_param_value("after"));
             for (auto& each : page["items"])
-                replace_address(each);
+                apply_view(each);
             send_json(response, 200, page);
             return;
         }
@@ -460,7 +470,7 @@
             return;
         }
         for (auto& each : (*found)["events"])
-            replace_address(each["object"]);
+            apply_view(each["object"]);
         send_json(response, 200, *found);
     }
 
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -15,6 +15,7 @@
 #include <platform/store_calls.hpp>     // decode_list
 
 #include "../../src/peers/peer_state.hpp"   // decode_datagram
+#include "../../src/store/page_cursor.hpp"  // page_cursor
 #include "../../src/store/watch_margin.hpp" // next_watch_margin
 
 using namespace rhubarbgrade;
@@ -479,3 +480,55 @@
     CHECK(status_target("rollouts", std::string("\r\n\0\xff", 4)) ==
           "/api/objects/rollouts/%0D%0A%00%FF/status");
 }
+
+TEST_CASE("a page names the last object, whatever else can be read of it",
+          "[adapter]")
+{
+    const auto last_name = [](const std::string& metadata)
+    {
+        const auto page = platform::decode_list(
+            R"({"items":[)" + listed_item("i-1", endpoint_spec("")) +
+            R"(,{"metadata":)" + metadata +
+            R"(}],"hasMore":true,"storeRevision":9})");
+        REQUIRE(page);
+        CHECK(page->unreadable == 1);
+        return page->last_name;
+    };
+    CHECK(last_name(R"({"name":"b"})") == "b");
+    CHECK(last_name(R"({"revision":1e999,"name":"b"})") == "b");
+    CHECK(last_name("{\"name\":\"b\xff\"}") == "b\xff");
+    CHECK(last_name(R"({"name":"\u0000\"\\\ud83d\ude00+\n"})") ==
+          std::string("\0\"\\\xf0\x9f\x98\x80+\n", 9));
+    CHECK(last_name("{\"name\":\"" + std::string(100000, 'b') + "\"}").size() ==
+          100000);
+    for (const auto* bad :
+         {"{}", "[]", "null", R"({"name":5})", R"({"name":""})",
+          R"({"name":"\ud83d"})", R"({"name":"\x"})"})
+        CHECK(last_name(bad) == "i-1");
+}
+
+TEST_CASE("a list ends at a page that leads to none behind it", "[adapter]")
+{
+    const auto page_up_to = [](const std::string& name)
+    {
+        platform::object_page page;
+        page.more = true;
+        page.last_name = name;
+        return page;
+    };
+    page_cursor cursor;
+    CHECK(cursor.after().empty());
+    CHECK(cursor.advance(page_up_to("b")));
+    CHECK(cursor.after() == "b");
+    // The order of names is the store's.
+    CHECK(cursor.advance(page_up_to("a")));
+    CHECK(cursor.after() == "a");
+    SECTION("no object has a name")
+    {
+        CHECK_FALSE(cursor.advance(page_up_to("")));
+    }
+    SECTION("it has been read before")
+    {
+        CHECK_FALSE(cursor.advance(page_up_to("b")));
+    }
+}
