An entry whose name can't be a header's value names no endpoint

An entry of another writer, complete but for a name with CR LF in it, was used as an endpoint, and its name went as it was into a header (the endpoint that is meant) of requests: it added headers of its own to them.

Cause: decode_endpoint took a name of any bytes as an id.

A recipient would read another value than was sent for each of them.

--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -152,3 +152,27 @@
                    answer->get_header_value("Response-Signature") == "s.i-6";
         }));
 }
+
+TEST_CASE("an entry's name adds no headers to requests",
+          "[odd-entries][header]")
+{
+    installation site;
+    site.start_replica("i-0", "desk");
+    site.upsert_object(
+        "servers", "i-0\r\nTenant-Id: others\r\nInjected: 1",
+        {{"service", "desk"},
+         {"address", "127.0.0.1:" + std::to_string(site.replica_port("i-0"))},
+         {"zone", "z1"},
+         {"version", "v1"},
+         {"slots", 8},
+         {"state", "ready"}});
+    site.start_host("h1");
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i)
+        CHECK(site.call("h1", "/read/x")->status == 200);
+    for (const auto& run : site.runs("/read/x"))
+    {
+        CHECK_FALSE(run["headers"].contains("Injected"));
+        CHECK(run["headers"]["Tenant-Id"] == "clerks");
+    }
+}
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -423,6 +423,25 @@
     CHECK(usable_beside(spec) == names_t{"i-1", "i-2"});
 }
 
+TEST_CASE("an entry whose name can't be a header's value names no endpoint",
+          "[adapter]")
+{
+    const auto decodes = [](const std::string& name)
+    {
+        auto object = stored_object_of(endpoint_spec(""));
+        object.name = name;
+        return platform::decode_endpoint(object).has_value();
+    };
+    for (const auto* good :
+         {"i", "i-7f3a91c2", "a b", "a&b#c+%41", "\u00e9", "\xff"})
+        CHECK(decodes(good));
+    for (const auto& bad :
+         {std::string(), std::string("a\r\nTenant-Id: x"), std::string("a\n"),
+          std::string("a\0b", 3), std::string("a\tb"), std::string("\x7f"),
+          std::string(" a"), std::string("a "), std::string(257, 'a')})
+        CHECK_FALSE(decodes(bad));
+}
+
 TEST_CASE("a deeply nested or oversized entry names no endpoint", "[adapter]")
 {
     CHECK(usable_beside(endpoint_spec(",\"extra\":" + nested(100000))) ==
