A move is only read from the entry named after its service

An entry of another writer under a name of its own that names a service in its spec moved that service's traffic. Its outcome was then written under the service's name, where no entry stands, again at each tick, and the move stayed when the entry was removed, as moves are removed by their entries' names.

Cause: orders were applied by the service in the spec. The platform's pages give the place of an order as rollouts/SERVICE.

The two older tests of decode_move now name their object after the service; their checks are the same.

--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -176,3 +176,27 @@
         CHECK(run["headers"]["Tenant-Id"] == "clerks");
     }
 }
+
+TEST_CASE("an entry moves no service but the one that it is named after",
+          "[odd-entries][move]")
+{
+    installation site;
+    site.start_replica("i-0", "desk");
+    const auto order = [](const std::string& service)
+    {
+        return json{{"service", service}, {"target", "v2"}, {"durationS", 1}};
+    };
+    site.upsert_object("rollouts", "odd", order("desk"));
+    site.start_host("h1");
+    // A later move of another service ends.
+    site.upsert_object("rollouts", "pool", order("pool"));
+    CHECK(wait_until(
+        [&]
+        {
+            const auto log = site.log_text("h1");
+            return log.find("event=move_decided service=pool") !=
+                   std::string::npos;
+        }));
+    CHECK(site.log_text("h1").find("event=move_decided service=desk") ==
+          std::string::npos);
+}
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -132,6 +132,7 @@
 {
     auto object =
         stored_object_of(R"({"service":"s","target":"v3","durationS":12})");
+    object.name = "s";
     CHECK(platform::decode_move(object)->state == order_state::running);
     object.status = R"({"state":"succeeded","target":"v2"})";
     CHECK(platform::decode_move(object)->state == order_state::running);
@@ -471,13 +472,28 @@
     CHECK_FALSE(platform::decode_list(nested(1000000)));
 }
 
+TEST_CASE("a move of another service than its entry's is ignored", "[adapter]")
+{
+    auto object =
+        stored_object_of(R"({"service":"s","target":"v2","durationS":12})");
+    object.name = "s";
+    CHECK(platform::decode_move(object));
+    for (const auto* other : {"", "S", "s ", "odd"})
+    {
+        object.name = other;
+        CHECK_FALSE(platform::decode_move(object));
+    }
+}
+
 TEST_CASE("a move whose time limit is no sensible number is ignored",
           "[adapter]")
 {
     const auto decode = [](const std::string& limit)
     {
-        return platform::decode_move(stored_object_of(
-            R"({"service":"s","target":"v2","durationS":)" + limit + "}"));
+        auto object = stored_object_of(
+            R"({"service":"s","target":"v2","durationS":)" + limit + "}");
+        object.name = "s";
+        return platform::decode_move(object);
     };
     CHECK(decode("12.5"));
     CHECK_FALSE(decode("1e30"));
