A move with names or texts out of bounds is ignored

An entry of another writer in the place of a move, with a target of 60,000 bytes, cut every host off from its peers: all messages between them carry the evidence on running moves, were over 60,000 bytes and were dropped (event=datagram_too_large).

Cause: decode_move bounded the time limit only, neither the names nor the size and depth of what it parsed.

--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -200,3 +200,32 @@
     CHECK(site.log_text("h1").find("event=move_decided service=desk") ==
           std::string::npos);
 }
+
+TEST_CASE("a move with a long name cuts no host off from its peers",
+          "[odd-entries][long-move]")
+{
+    installation site;
+    site.start_replica("i-0", "desk");
+    // Evidence on running moves is a part of each message between hosts.
+    site.upsert_object("rollouts", "desk",
+                       {{"service", "desk"},
+                        {"target", std::string(60000, 'v')},
+                        {"durationS", 600}});
+    site.start_host("h1");
+    site.start_host("h2");
+    site.upsert_object(
+        "rollouts", "pool",
+        {{"service", "pool"}, {"target", "v2"}, {"durationS", 1}});
+    for (const auto* host : {"h1", "h2"})
+    {
+        CHECK(wait_until(
+            [&]
+            {
+                return site.log_text(host).find(
+                           "event=move_decided service=pool") !=
+                       std::string::npos;
+            }));
+        CHECK(site.log_text(host).find("event=datagram_too_large") ==
+              std::string::npos);
+    }
+}
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -485,6 +485,34 @@
     }
 }
 
+TEST_CASE("a move with a name that is too long, or that is too large, is "
+          "ignored",
+          "[adapter]")
+{
+    const auto decodes =
+        [](const std::string& service, const std::string& target,
+           const std::string& extra = "0", const std::string& status = "")
+    {
+        auto object = stored_object_of(
+            R"({"service":")" + service + R"(","target":")" + target +
+            R"(","durationS":12,"extra":)" + extra + "}");
+        object.name = service;
+        object.status = status;
+        return platform::decode_move(object).has_value();
+    };
+    CHECK(decodes(std::string(256, 's'), std::string(256, 'v')));
+    CHECK_FALSE(decodes(std::string(257, 's'), "v"));
+    CHECK_FALSE(decodes("s", std::string(257, 'v')));
+    CHECK_FALSE(decodes("", "v"));
+    CHECK_FALSE(decodes("s", ""));
+    CHECK(decodes("s", "v", nested(5), R"({"x":)" + nested(5) + "}"));
+    CHECK_FALSE(decodes("s", "v", nested(100)));
+    CHECK_FALSE(decodes("s", "v", '"' + std::string(70000, 'x') + '"'));
+    CHECK_FALSE(decodes("s", "v", "0", R"({"x":)" + nested(100) + "}"));
+    CHECK_FALSE(decodes("s", "v", "0",
+                        R"({"x":")" + std::string(70000, 'x') + R"("})"));
+}
+
 TEST_CASE("a move whose time limit is no sensible number is ignored",
           "[adapter]")
 {
