Names of entries begin no line or field of the log

An entry of another writer whose name holds CR LF wrote lines of its own into the hosts' logs, from which operators trace an id to its cause: lines that look like decisions of the product.

Cause: names of entries were logged as they are (event=endpoint_ignored, event=endpoint_removed, the errors of the decoders), and the service, version and zone of an entry, the target of a move and the zone of an evacuation may have held control characters too.

Change: printable_name encodes and cuts a name for logs. Names in entries that are used have no control characters; entries with such a name are ignored with that reason.

Quotes in messages are still not escaped as JSON has it; that is older and not only a matter of names.

--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -396,7 +396,8 @@
         if (event.removed)
             spdlog::info("event=endpoint_removed id={} revision={} lapsed={} "
                          "outage={} store_back_ms={}",
-                         event.object.name, event.object.revision,
+                         platform::printable_name(event.object.name),
+                         event.object.revision,
                          found != m_endpoints.endpoints.end() &&
                              found->second.lapsed,
                          in_outage(m_endpoints, now),
@@ -803,8 +804,9 @@
         m_unusable.clear();
     auto& reported = m_unusable[object.name];
     if (std::exchange(reported, object.revision) != object.revision)
-        spdlog::warn("event=endpoint_ignored name={:.100} revision={} {}",
-                     object.name, object.revision, fault.message());
+        spdlog::warn("event=endpoint_ignored name={} revision={} {}",
+                     platform::printable_name(object.name), object.revision,
+                     fault.message());
 }
 
 void node_control::publish()
--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -229,3 +229,30 @@
               std::string::npos);
     }
 }
+
+TEST_CASE("an entry's name begins no line of the log", "[odd-entries][log]")
+{
+    installation site;
+    site.start_replica("i-0", "desk");
+    site.start_host("h1", "graceS = 8\nevacuateMs = 2000");
+    const std::string forged = "x\r\n{\"message\":\"forged\"}";
+    for (const auto* kind : {"servers", "rollouts", "evacuations"})
+        site.upsert_object(kind, forged, odd_spec);
+    const auto logs = [&](const std::string& text)
+    {
+        return wait_until(
+            [&]
+            {
+                return site.log_text("h1").find(text) != std::string::npos;
+            });
+    };
+    CHECK(logs("event=endpoint_ignored"));
+    CHECK(logs("ignored a move object"));
+    CHECK(logs("event=evacuation_ignored"));
+    CHECK(site.store_client()
+              .Delete("/api/objects/servers/x%0D%0A%7B%22message%22%3A"
+                      "%22forged%22%7D")
+              ->status == 200);
+    CHECK(logs("event=endpoint_removed"));
+    CHECK(site.log_text("h1").find("\n{\"message\"") == std::string::npos);
+}
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -165,6 +165,8 @@
     auto object = stored_object_of("{}");
     object.name = std::string(300, 'z');
     CHECK_FALSE(platform::decode_evacuation(object));
+    object.name = "z1\r\n";
+    CHECK_FALSE(platform::decode_evacuation(object));
     object.name.clear();
     CHECK_FALSE(platform::decode_evacuation(object));
 }
@@ -419,7 +421,8 @@
         endpoint_spec(",\"address\":\"10.0.0.3:\""),
         endpoint_spec(",\"address\":\"10.0.0.300:80\""),
         endpoint_spec(",\"address\":\"nohost:80\""),
-        endpoint_spec(",\"state\":\"gone\""), endpoint_spec(",\"zone\":3"));
+        endpoint_spec(",\"state\":\"gone\""), endpoint_spec(",\"zone\":3"),
+        endpoint_spec(",\"zone\":\"z\\n\""));
     INFO(spec.substr(0, 200));
     CHECK(usable_beside(spec) == names_t{"i-1", "i-2"});
 }
@@ -505,6 +508,7 @@
     CHECK_FALSE(decodes("s", std::string(257, 'v')));
     CHECK_FALSE(decodes("", "v"));
     CHECK_FALSE(decodes("s", ""));
+    CHECK_FALSE(decodes("s", "v\\n"));
     CHECK(decodes("s", "v", nested(5), R"({"x":)" + nested(5) + "}"));
     CHECK_FALSE(decodes("s", "v", nested(100)));
     CHECK_FALSE(decodes("s", "v", '"' + std::string(70000, 'x') + '"'));
@@ -611,3 +615,21 @@
     CHECK(platform::list_position(before + "\u20ac\u20ac") == before + last);
     CHECK(platform::list_position(std::string(600, '\x80')).size() == 509 + 4);
 }
+
+TEST_CASE("a logged name has no bytes that a line of the log may not have",
+          "[adapter]")
+{
+    CHECK(platform::printable_name("i-7f3a") == "i-7f3a");
+    CHECK(platform::printable_name("a\r\n\"=\xff") == "a%0D%0A%22%3D%FF");
+    CHECK(platform::printable_name(std::string(1000, 'a')).size() == 100);
+    auto object = stored_object_of("{}");
+    object.name = "a\r\nb";
+    for (const auto& message :
+         {platform::decode_endpoint(object).error().message(),
+          platform::decode_move(object).error().message(),
+          platform::decode_evacuation(object).error().message()})
+    {
+        INFO(message);
+        CHECK(message.find('\n') == std::string::npos);
+    }
+}
