--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -42,6 +42,9 @@
 constexpr milliseconds min_retry_pause{100};
 constexpr milliseconds max_retry_pause{1600};
 
+/// Shortest time between two lists of a kind that can't be read to its end.
+constexpr milliseconds relist_interval{2000};
+
 /// Pauses between failed calls.
 class retry_pauses
 {
@@ -65,9 +68,6 @@
     milliseconds m_next{min_retry_pause};
 };
 
-/// Shortest time between two lists of a kind that can't be read to its end.
-constexpr milliseconds relist_interval{2000};
-
 /// Reads the pages of a list; empty if a call fails or can't be decoded. If a
 /// page names no position behind it, the list ends there, with @c more set.
 asio::awaitable<std::optional<platform::object_page>>
@@ -84,7 +84,13 @@
         const auto response = co_await store.call(
             call_purpose::list, verb::get, std::move(target), {}, list_timeout);
         if (!response.is(200))
+        {
+            spdlog::warn("event=list_failed kind={} after={} status={} "
+                         "too_large={}",
+                         kind, platform::printable_name(cursor.after()),
+                         response.status, response.too_large);
             co_return std::nullopt;
+        }
         auto page = platform::decode_list(response.body);
         if (!page)
         {
--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -50,6 +50,7 @@
 /// Sends requests until as many endpoints as expected have run one.
 /// @return the endpoints that have run a request in time
 std::set<std::string> serving_endpoints(const installation& site,
+                                        const std::string& host,
                                         std::size_t expected)
 {
     constexpr int serve_ms = 8000;
@@ -57,7 +58,7 @@
     wait_until(
         [&]
         {
-            const auto answer = site.call("h1", "/read/x");
+            const auto answer = site.call(host, "/read/x");
             if (answer && answer->status == 200)
                 serving.insert(
                     answer->get_header_value("Response-Signature").substr(2));
@@ -71,7 +72,7 @@
 void check_serves(installation& site, const std::set<std::string>& names)
 {
     site.spawn_host("h1");
-    CHECK(serving_endpoints(site, names.size()) == names);
+    CHECK(serving_endpoints(site, "h1", names.size()) == names);
     CHECK(peak_memory_kb(site.host("h1").pid()) < max_memory_kb);
 }
 
@@ -91,6 +92,23 @@
     check_serves(site, names);
 }
 
+TEST_CASE("hosts that start again beside an odd entry serve all endpoints",
+          "[odd-entries][restart]")
+{
+    installation site;
+    const auto names = list_endpoints(site);
+    const std::vector<std::string> hosts{"h1", "h2", "h3"};
+    for (const auto& host : hosts)
+        site.start_host(host);
+    site.upsert_object("servers", "i-3 & + # % x", odd_spec);
+    for (const auto& host : hosts)
+        site.host(host).kill();
+    for (const auto& host : hosts)
+        site.spawn_host(host);
+    for (const auto& host : hosts)
+        CHECK(serving_endpoints(site, host, names.size()) == names);
+}
+
 TEST_CASE("entries of any name fill a page of the list", "[odd-entries][fill]")
 {
     const auto first = GENERATE(as<std::string>{}, "&", "#", "+", " ", "\r\n",
@@ -132,18 +150,18 @@
             return site.log_text("h1").find("event=list_incomplete") !=
                    std::string::npos;
         }));
-    CHECK(serving_endpoints(site, names.size()) == names);
+    CHECK(serving_endpoints(site, "h1", names.size()) == names);
 
     // It is watched, and read again once it has changed.
     site.start_replica("j-1", "desk");
     site.start_host("h2");
     auto all = names;
     all.insert("j-1");
-    CHECK(serving_endpoints(site, all.size()) == all);
+    CHECK(serving_endpoints(site, "h1", all.size()) == all);
     site.set_store_fault({{"hide", ""}});
     for (int i = 0; i < page_size; ++i)
         site.remove_object("servers", "i-4x" + std::to_string(i));
-    CHECK(serving_endpoints(site, all.size()) == all);
+    CHECK(serving_endpoints(site, "h1", all.size()) == all);
     CHECK(wait_until(
         [&]
         {
@@ -256,3 +274,18 @@
     CHECK(logs("event=endpoint_removed"));
     CHECK(site.log_text("h1").find("\n{\"message\"") == std::string::npos);
 }
+
+TEST_CASE("a list that the store refuses is logged with its place",
+          "[odd-entries][log]")
+{
+    installation site;
+    site.set_store_fault({{"refuse", 503}});
+    site.spawn_host("h1");
+    CHECK(wait_until(
+        [&]
+        {
+            return site.log_text("h1").find("event=list_failed kind=servers "
+                                            "after= status=503") !=
+                   std::string::npos;
+        }));
+}
