A host whose list lacks endpoints doesn't call its state current

Other hosts that the store doesn't reach take the endpoints from a host whose state is current; one with an incomplete list would have given them a part. It still called itself current, though it named no position any more.

Change: such a host is not fresh in its reports, and it counts as complete again once it has taken the whole state of a peer.

--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -597,7 +597,7 @@
 
 void node_control::set_read_position(std::uint64_t revision, time_point_t now)
 {
-    // Other hosts take the endpoints from one that has come further.
+    // A host takes over the endpoints of one with a later position.
     if (!m_list_incomplete)
         set_position({m_store.era(), revision}, now);
 }
@@ -864,7 +864,7 @@
     heartbeat.host = m_settings.host;
     heartbeat.incarnation = m_identity.process.incarnation;
     heartbeat.configuration = m_configuration ? m_configuration->version : 0;
-    heartbeat.fresh = store_is_current(now);
+    heartbeat.fresh = store_is_current(now) && !m_list_incomplete;
     heartbeat.can_write = m_escrow.can_write();
     heartbeat.state_digest = state_digest();
     heartbeat.evidence = m_moves.evidence();
@@ -972,6 +972,7 @@
     else
         replace_endpoints(m_endpoints, state.endpoints, now);
     set_position(std::max(m_position, position), now);
+    m_list_incomplete = false;
     set_endpoints_known(now);
     m_moves_known = true;
     std::set<std::string> services;
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -232,7 +232,7 @@
     bool m_moves_known = false;
     std::uint64_t m_told_era = 0;   ///< of the store, in heartbeats
     std::uint64_t m_listed_era = 0; ///< of the store's last endpoint list
-    bool m_list_incomplete = false; ///< whether that list may lack endpoints
+    bool m_list_incomplete = false; ///< the store's list may lack endpoints
 
     /// Fleet size that limits are divided by until the account in the store has
     /// been read.
