--- a/tests/integration/integration-odd-entries.cpp
+++ b/tests/integration/integration-odd-entries.cpp
@@ -2,7 +2,6 @@
 // starts. Such an entry names no endpoint; all others must be served, whatever
 // the entry is called and wherever it stands in the pages of the list.
 
-#include <fstream>
 #include <set>
 #include <string>
 #include <vector>
