Stand-in of the store: read a byte of any value as a digit or none

Its check of request targets gave std::isxdigit a plain char. That is signed on x86-64, where a byte over 127 would have been a value that the function does not take; on arm64, where the tests have run, it is not. Found by reading.

--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -378,6 +378,11 @@
     static constexpr auto unhandled =
         httplib::Server::HandlerResponse::Unhandled;
 
+    static bool is_hexadecimal(char digit)
+    {
+        return std::isxdigit(static_cast<unsigned char>(digit)) != 0;
+    }
+
     /// Whether a request target has only characters that a URI may have, and
     /// each "%" begins an encoded byte.
     static bool is_valid(std::string_view target)
@@ -388,9 +393,8 @@
             const auto next = static_cast<unsigned char>(target[i]);
             if (next == '%')
             {
-                if (i + 2 >= target.size() ||
-                    std::isxdigit(target[i + 1]) == 0 ||
-                    std::isxdigit(target[i + 2]) == 0)
+                if (i + 2 >= target.size() || !is_hexadecimal(target[i + 1]) ||
+                    !is_hexadecimal(target[i + 2]))
                     return false;
                 i += 2;
             }
