--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -641,13 +641,19 @@
     }
 
     ~host()
+    {
+        end();
+    }
+
+    /// Ends the process.
+    void end()
     {
         if (m_pid > 0)
         {
             ::kill(m_pid, SIGKILL);
-            ::kill(m_pid, SIGCONT);
             ::waitpid(m_pid, nullptr, 0);
         }
+        m_pid = 0;
     }
 
     void start(const std::string& program = "target/rhubarbgrade_node")
