--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -364,12 +364,20 @@
 {
 public:
     explicit store(record& log, const std::string& ip = "127.0.0.1")
-        : m_record(log), m_server(ip, [this](int handle) { serve(handle); })
+        : m_record(log), m_ip(ip), m_server(ip, [this](int handle) { serve(handle, 0); })
     {
     }
 
     std::string address() const { return m_server.address(); }
 
+    /// A further address of the same store.
+    /// @param[in] tag  of the calls that come there, see loses_answer
+    std::string further_address(int tag)
+    {
+        m_further.push_back(std::make_unique<server>(m_ip, [this, tag](int handle) { serve(handle, tag); }));
+        return m_further.back()->address();
+    }
+
     /// The operator's, or a server's, write of an object.
     void put(const std::string& kind, const std::string& name, const json& spec)
     {
@@ -413,8 +421,9 @@
     /// @return a status to answer with instead, 0 for none, -1 to reset
     std::function<int(const message&)> on_call;
 
-    /// Whether each answer but that to a watch ends its channel.
-    bool close_after_call = false;
+    /// Whether the answer to a call that has been carried out is lost; the
+    /// channel then returns nothing further.
+    std::function<bool(const message&, const json& body, int tag)> loses_answer;
 
 private:
     struct change
@@ -438,7 +447,7 @@
         return rest.substr(0, rest.find('&'));
     }
 
-    void serve(int handle)
+    void serve(int handle, int tag)
     {
         reader input(handle);
         message call;
@@ -450,9 +459,14 @@
             json body = json::object();
             if (status == 0)
                 status = carry_out(call, body);
+            if (status == 200 && loses_answer && loses_answer(call, body, tag))
+            {
+                while (input.fill(std::nullopt) == read_end::whole)
+                    input.bytes().clear();
+                return;
+            }
             const auto text = body.dump();
-            const bool ends = close_after_call && call.word(1).find("watch=") == std::string::npos;
-            if (!send_all(handle, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n" + (ends ? "Connection: close\r\n" : "") + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text) || ends)
+            if (!send_all(handle, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text))
                 return;
         }
     }
@@ -561,7 +575,9 @@
     std::uint64_t m_revision = 10;
     std::map<std::string, std::map<std::string, json>> m_objects;
     std::deque<change> m_history;
+    std::string m_ip;
     server m_server;
+    std::vector<std::unique_ptr<server>> m_further;
 };
 
 /// A server (replica); the handler runs each request.
