--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -391,7 +391,8 @@
         object["spec"] = spec;
         object["metadata"]["revision"] = m_revision;
         m_history.push_back({m_revision, kind, object, false});
-        m_record.line("store acknowledges %s/%s revision %lu: %s", kind.c_str(), name.c_str(), static_cast<unsigned long>(m_revision), spec.dump().substr(0, 120).c_str());
+        if (!quiet)
+            m_record.line("store acknowledges %s/%s revision %lu: %s", kind.c_str(), name.c_str(), static_cast<unsigned long>(m_revision), spec.dump().substr(0, 120).c_str());
         m_changed.notify_all();
     }
 
@@ -421,6 +422,15 @@
     /// @return a status to answer with instead, 0 for none, -1 to reset
     std::function<int(const message&)> on_call;
 
+    /// Whether the operator's and servers' writes are left out of the record.
+    bool quiet = false;
+
+    /// Most objects of a page of a list.
+    std::size_t page_size = 500;
+
+    /// How old the data are that a list with "serializable" returns, in ms.
+    std::function<long(const message&)> staleness;
+
     /// Whether the answer to a call that has been carried out is lost; the
     /// channel then returns nothing further.
     std::function<bool(const message&, const json& body, int tag)> loses_answer;
@@ -432,6 +442,7 @@
         std::string kind;
         json object;
         bool removed;
+        clock_type::time_point at = clock_type::now();
     };
 
     static std::string parameter(const std::string& target, const std::string& name)
@@ -492,10 +503,38 @@
         {
             if (const auto watch = parameter(target, "watch"); !watch.empty())
                 return wait_for_changes(lock, kind, std::stoull(watch), std::stol("0" + parameter(target, "waitMs")), body);
-            body = {{"items", json::array()}, {"hasMore", false}, {"storeRevision", m_revision}};
-            for (const auto& [each, object] : m_objects[kind])
-                if (each > parameter(target, "after"))
-                    body["items"].push_back(object);
+            auto revision = m_revision;
+            auto objects = m_objects[kind];
+            if (const long age = parameter(target, "serializable") == "1" && staleness ? staleness(call) : 0; age > 0)
+            {
+                // The state of that time.
+                objects.clear();
+                for (const auto& each : m_history)
+                {
+                    if (each.at > clock_type::now() - milliseconds(age))
+                        break;
+                    revision = each.revision;
+                    if (each.kind != kind)
+                        continue;
+                    const auto name_of_it = each.object["metadata"]["name"].get<std::string>();
+                    if (each.removed)
+                        objects.erase(name_of_it);
+                    else
+                        objects[name_of_it] = each.object;
+                }
+            }
+            body = {{"items", json::array()}, {"hasMore", false}, {"storeRevision", revision}};
+            for (const auto& [each, object] : objects)
+            {
+                if (each <= parameter(target, "after"))
+                    continue;
+                if (body["items"].size() == page_size)
+                {
+                    body["hasMore"] = true;
+                    break;
+                }
+                body["items"].push_back(object);
+            }
             return 200;
         }
         if (method == "GET")
