--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -428,6 +428,9 @@
     /// Most objects of a page of a list.
     std::size_t page_size = 500;
 
+    /// Most bytes of long texts in a page of a list.
+    std::size_t page_bytes = 1 << 20;
+
     /// How old the data are that a list with "serializable" returns, in ms.
     std::function<long(const message&)> staleness;
 
@@ -504,11 +507,12 @@
             if (const auto watch = parameter(target, "watch"); !watch.empty())
                 return wait_for_changes(lock, kind, std::stoull(watch), std::stol("0" + parameter(target, "waitMs")), body);
             auto revision = m_revision;
-            auto objects = m_objects[kind];
+            const auto* listed = &m_objects[kind];
+            std::map<std::string, json> objects;
             if (const long age = parameter(target, "serializable") == "1" && staleness ? staleness(call) : 0; age > 0)
             {
                 // The state of that time.
-                objects.clear();
+                listed = &objects;
                 for (const auto& each : m_history)
                 {
                     if (each.at > clock_type::now() - milliseconds(age))
@@ -524,16 +528,17 @@
                 }
             }
             body = {{"items", json::array()}, {"hasMore", false}, {"storeRevision", revision}};
-            for (const auto& [each, object] : objects)
+            std::size_t bytes = 0;
+            for (auto each = listed->upper_bound(parameter(target, "after")); each != listed->end(); ++each)
             {
-                if (each <= parameter(target, "after"))
-                    continue;
-                if (body["items"].size() == page_size)
+                const auto size = each->second["spec"].is_string() ? each->second["spec"].get_ref<const std::string&>().size() : 0;
+                if (body["items"].size() == page_size || (!body["items"].empty() && bytes + size > page_bytes))
                 {
                     body["hasMore"] = true;
                     break;
                 }
-                body["items"].push_back(object);
+                bytes += size;
+                body["items"].push_back(each->second);
             }
             return 200;
         }
@@ -676,7 +681,7 @@
 class host
 {
 public:
-    host(record& log, const std::filesystem::path& folder, std::string name, std::string zone, const std::string& ip, const std::string& store_address, const std::string& bounds)
+    host(record& log, const std::filesystem::path& folder, std::string name, std::string zone, const std::string& ip, const std::string& store_address, const std::string& bounds, int memory_mb = 260)
         : m_record(log), m_name(std::move(name)), m_ip(ip), m_folder(folder)
     {
         m_front = free_port(ip);
@@ -690,7 +695,7 @@
             << "nodeName = \"" << m_name << "\"\nrole = \"router\"\nmachineClass = \"front\"\nserves = [\"front\"]\nip = \"" << ip
             << "\"\nzone = \"" << zone << "\"\nregion = \"r\"\ninternalPortRange = [" << peers << "," << peers + 15
             << "]\nbootstrap = true\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n[listen]\nfront = \"" << front_address()
-            << "\"\nready = \"" << ip << ":" << m_ready << "\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+            << "\"\nready = \"" << ip << ":" << m_ready << "\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = " << memory_mb << "\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
             << "[bounds]\n" << bounds << "\n[platform]\naddress = \"" << store_address
             << "\"\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nminTtlMs = 1000\n";
     }
@@ -787,6 +792,16 @@
             }
     }
 
+    /// Resident memory, in KB.
+    long memory_kb() const
+    {
+        std::ifstream in("/proc/" + std::to_string(m_pid) + "/status");
+        for (std::string line; std::getline(in, line);)
+            if (line.rfind("VmRSS:", 0) == 0)
+                return std::atol(line.c_str() + 6);
+        return 0;
+    }
+
     pid_t pid() const { return m_pid; }
     const std::string& name() const { return m_name; }
     const std::string& ip() const { return m_ip; }
