--- a/review/standins-2/case10.cpp
+++ b/review/standins-2/case10.cpp
@@ -1,6 +1,6 @@
-// Case 10: another writer has left long entries among the servers. The processes
-// must not end, nor exceed the memory of their machines, which the platform kills
-// them for.
+// Case 10: another writer has left long entries among the servers. The
+// processes must not end, nor exceed the memory of their machines, which the
+// platform kills them for.
 #include "lab.hpp"
 
 using namespace lab;
@@ -8,11 +8,11 @@
 namespace
 {
 
-constexpr int memory_mb = 110;         // limits.memoryMb of atlas-doum
+constexpr int memory_mb = 110; // limits.memoryMb of atlas-doum
 constexpr int odd_entries = 130;
 constexpr std::size_t odd_bytes = 1000000; // valueBytes is 1,048,576
 constexpr int hosts = 2;
-constexpr int ends_allowed = 2;        // three count, on two machines at least
+constexpr int ends_allowed = 2; // three count, on two machines at least
 constexpr long played_ms = 20000;
 
 } // namespace
@@ -27,7 +27,8 @@
     store platform(log);
     const auto run = [](int handle, const message& request, replica& self)
     {
-        return send_all(handle, self.head(request) + "Content-Length: 2\r\n\r\nok");
+        return send_all(handle,
+                        self.head(request) + "Content-Length: 2\r\n\r\nok");
     };
     replica first(log, "i-1", run);
     replica second(log, "i-2", run);
@@ -36,19 +37,26 @@
     platform.put("servers", "i-2", second.entry("app", "z1"));
     if (trouble())
     {
-        log.line("another writer leaves %d entries of %zu bytes", odd_entries, odd_bytes);
+        log.line("another writer leaves %d entries of %zu bytes", odd_entries,
+                 odd_bytes);
         platform.quiet = true;
         for (int i = 0; i < odd_entries; ++i)
-            platform.put("servers", "odd-" + std::to_string(1000 + i), std::string(odd_bytes, static_cast<char>('a' + i % 26)));
+            platform.put(
+                "servers", "odd-" + std::to_string(1000 + i),
+                std::string(odd_bytes, static_cast<char>('a' + i % 26)));
         platform.quiet = false;
     }
     std::vector<std::unique_ptr<host>> fleet;
     for (int i = 0; i < hosts; ++i)
     {
-        fleet.push_back(std::make_unique<host>(log, folder.path(), "front-" + std::to_string(i + 1), "z1", "127.0.0." + std::to_string(81 + i), platform.address(), sheet_bounds, memory_mb));
+        fleet.push_back(std::make_unique<host>(
+            log, folder.path(), "front-" + std::to_string(i + 1), "z1",
+            "127.0.0." + std::to_string(81 + i), platform.address(),
+            sheet_bounds, memory_mb));
         fleet.back()->start(argv[2]);
     }
-    // The platform: kills a process over the limit, starts those that have ended.
+    // The platform: kills a process over the limit, starts those that have
+    // ended.
     std::vector<int> ends(hosts);
     std::vector<long> most_kb(hosts);
     std::vector<long> start_at(hosts, -1);
@@ -73,7 +81,8 @@
             most_kb[i] = std::max(most_kb[i], memory);
             if (memory > memory_mb * 1024L)
             {
-                log.line("%s has %ld KB, over memoryMb", each.name().c_str(), memory);
+                log.line("%s has %ld KB, over memoryMb", each.name().c_str(),
+                         memory);
                 each.signal(SIGKILL);
                 ++ends[i];
                 start_at[i] = log.now_ms() + 500;
@@ -94,7 +103,13 @@
                     continue;
                 reader input(handle);
                 message answer;
-                if (send_all(handle, request_head("GET", "/look/1", "q-" + std::to_string(++n), 100) + "\r\n") && input.read(answer, clock_type::now() + milliseconds(100)) == read_end::whole && answer.status() == 200)
+                if (send_all(handle,
+                             request_head("GET", "/look/1",
+                                          "q-" + std::to_string(++n), 100) +
+                                 "\r\n") &&
+                    input.read(answer, clock_type::now() + milliseconds(100)) ==
+                        read_end::whole &&
+                    answer.status() == 200)
                     ++answered;
                 ::close(handle);
             }
@@ -104,12 +119,15 @@
     int machines = 0;
     for (int i = 0; i < hosts; ++i)
     {
-        log.line("%s: %ld KB at most, %d ends", fleet[i]->name().c_str(), most_kb[i], ends[i]);
+        log.line("%s: %ld KB at most, %d ends", fleet[i]->name().c_str(),
+                 most_kb[i], ends[i]);
         machines += ends[i] > ends_allowed ? 1 : 0;
         fleet[i]->end();
     }
     log.line("%d requests sent, %d answered with 200", n, answered);
     const bool broken = machines >= 2;
-    log.line("Fault %s", broken ? "is broken: on two machines processes end by themselves three times" : "held");
+    log.line("Fault %s", broken ? "is broken: on two machines processes end by "
+                                  "themselves three times"
+                                : "held");
     leave(folder, broken ? 1 : answered == 0 ? 2 : 0);
 }
--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -34,17 +34,23 @@
             std::lock_guard lock(mutex);
             last_run[self.id()] = now;
             ++runs[self.id()];
-            if (self.id() == "i-2" && drains_at >= 0 && now - drains_at > drain_ms)
+            if (self.id() == "i-2" && drains_at >= 0 &&
+                now - drains_at > drain_ms)
             {
                 if (late++ % 50 == 0)
-                    log.line("%s runs at i-2, %ld ms after the acknowledgement that it drains", request.field("request-id").c_str(), now - drains_at);
+                    log.line("%s runs at i-2, %ld ms after the acknowledgement "
+                             "that it drains",
+                             request.field("request-id").c_str(),
+                             now - drains_at);
             }
         }
-        return send_all(handle, self.head(request) + "Content-Length: 2\r\n\r\nok");
+        return send_all(handle,
+                        self.head(request) + "Content-Length: 2\r\n\r\nok");
     };
     std::vector<std::unique_ptr<replica>> servers;
     for (int i = 1; i <= 4; ++i)
-        servers.push_back(std::make_unique<replica>(log, "i-" + std::to_string(i), run));
+        servers.push_back(
+            std::make_unique<replica>(log, "i-" + std::to_string(i), run));
     auto state = desired_state(7);
     for (auto& route : state["routes"])
         if (route["service"] == "app")
@@ -56,7 +62,10 @@
     std::vector<std::unique_ptr<host>> fleet;
     for (int i = 0; i < hosts; ++i)
     {
-        fleet.push_back(std::make_unique<host>(log, folder.path(), "front-" + std::to_string(i + 1), "z1", "127.0.0." + std::to_string(41 + i), platform.address(), sheet_bounds));
+        fleet.push_back(std::make_unique<host>(
+            log, folder.path(), "front-" + std::to_string(i + 1), "z1",
+            "127.0.0." + std::to_string(41 + i), platform.address(),
+            sheet_bounds));
         fleet.back()->start(argv[2]);
     }
     for (const auto& each : fleet)
@@ -78,8 +87,12 @@
                     reader input(handle);
                     message answer;
                     const auto id = target->name() + "-" + std::to_string(n);
-                    if (send_all(handle, request_head("GET", "/look/1", id, 1500) + "\r\n") &&
-                        input.read(answer, clock_type::now() + milliseconds(2000)) == read_end::whole)
+                    if (send_all(handle,
+                                 request_head("GET", "/look/1", id, 1500) +
+                                     "\r\n") &&
+                        input.read(answer,
+                                   clock_type::now() + milliseconds(2000)) ==
+                            read_end::whole)
                         (answer.status() == 200 ? answered : others)++;
                     else
                     {
@@ -93,14 +106,16 @@
     sleep_ms(4000);
     if (trouble())
     {
-        platform.put("servers", "i-1", servers[0]->entry(service, "z1", 16, "draining"));
+        platform.put("servers", "i-1",
+                     servers[0]->entry(service, "z1", 16, "draining"));
         sleep_ms(3000);
         platform.remove("servers", "i-1");
         servers[0]->end();
         log.line("i-1 has left");
         sleep_ms(4000);
     }
-    platform.put("servers", "i-2", servers[1]->entry(service, "z1", 16, "draining"));
+    platform.put("servers", "i-2",
+                 servers[1]->entry(service, "z1", 16, "draining"));
     drains_at = log.now_ms();
     sleep_ms(8000);
     stop = true;
@@ -109,8 +124,11 @@
     std::lock_guard lock(mutex);
     for (const auto& [id, count] : runs)
         log.line("%s ran %d requests", id.c_str(), count);
-    log.line("%d requests got 200, %d another end", answered.load(), others.load());
-    log.line("i-2's last run was %ld ms after the acknowledgement (drainMs %ld); %d runs came later than that", last_run["i-2"] - drains_at.load(), drain_ms, late);
+    log.line("%d requests got 200, %d another end", answered.load(),
+             others.load());
+    log.line("i-2's last run was %ld ms after the acknowledgement (drainMs "
+             "%ld); %d runs came later than that",
+             last_run["i-2"] - drains_at.load(), drain_ms, late);
     for (const auto& each : fleet)
         each->copy_lines("critical");
     fleet.clear();
--- a/review/standins-2/case8.cpp
+++ b/review/standins-2/case8.cpp
@@ -1,6 +1,6 @@
 // Case 8: the store loses one answer, that to the watch in which it would tell
-// the host that reads for its zone that a server drains. Once the store has been
-// sound for contactMs again, requests must not reach that server any more.
+// the host that reads for its zone that a server drains. Once the store has
+// been sound for contactMs again, requests must not reach that server any more.
 #include "lab.hpp"
 
 using namespace lab;
@@ -28,10 +28,14 @@
     std::atomic<long> lost_at{-1};
     platform.loses_answer = [&](const message& call, const json& body, int tag)
     {
-        if (tag != 1 || call.word(1).find("servers?watch=") == std::string::npos || body["events"].empty() || !loses.exchange(false))
+        if (tag != 1 ||
+            call.word(1).find("servers?watch=") == std::string::npos ||
+            body["events"].empty() || !loses.exchange(false))
             return false;
         lost_at = log.now_ms();
-        log.line("the store loses the answer to %s from z1: %s", call.word(1).c_str(), body["events"][0]["object"]["spec"].dump().c_str());
+        log.line("the store loses the answer to %s from z1: %s",
+                 call.word(1).c_str(),
+                 body["events"][0]["object"]["spec"].dump().c_str());
         return true;
     };
     std::mutex mutex;
@@ -50,10 +54,13 @@
                 // In touch: contactMs after the store's fault has ended.
                 const bool in_touch = lost_at < 0 || now - lost_at > contact_ms;
                 if (last > drain_ms && in_touch && late++ % 20 == 0)
-                    log.line("%s runs at i-1, %ld ms after the acknowledgement that it drains", request.field("request-id").c_str(), last);
+                    log.line("%s runs at i-1, %ld ms after the acknowledgement "
+                             "that it drains",
+                             request.field("request-id").c_str(), last);
             }
         }
-        return send_all(handle, self.head(request) + "Content-Length: 2\r\n\r\nok");
+        return send_all(handle,
+                        self.head(request) + "Content-Length: 2\r\n\r\nok");
     };
     replica first(log, "i-1", run);
     replica second(log, "i-2", run);
@@ -72,7 +79,10 @@
     for (int i = 0; i < hosts; ++i)
     {
         const bool in_z1 = i < 2;
-        fleet.push_back(std::make_unique<host>(log, folder.path(), "front-" + std::to_string(i + 1), in_z1 ? "z1" : "z2", "127.0.0." + std::to_string(61 + i), in_z1 ? z1_address : z2_address, sheet_bounds));
+        fleet.push_back(std::make_unique<host>(
+            log, folder.path(), "front-" + std::to_string(i + 1),
+            in_z1 ? "z1" : "z2", "127.0.0." + std::to_string(61 + i),
+            in_z1 ? z1_address : z2_address, sheet_bounds));
         fleet.back()->start(argv[2]);
     }
     for (const auto& each : fleet)
@@ -93,7 +103,12 @@
                     const auto id = target->name() + "-" + std::to_string(n);
                     reader input(handle);
                     message answer;
-                    if (send_all(handle, request_head("GET", "/look/1", id, 1500) + "\r\n") && input.read(answer, clock_type::now() + milliseconds(2000)) == read_end::whole)
+                    if (send_all(handle,
+                                 request_head("GET", "/look/1", id, 1500) +
+                                     "\r\n") &&
+                        input.read(answer,
+                                   clock_type::now() + milliseconds(2000)) ==
+                            read_end::whole)
                         answered += answer.status() == 200 ? 1 : 0;
                     else
                     {
@@ -104,7 +119,8 @@
                 }
             });
     // A second after the hosts have begun a watch, which lasts for 8 s.
-    while (log.now_ms() < 6000 || log.now_ms() - watched_at < 1000 || log.now_ms() - watched_at > 1200)
+    while (log.now_ms() < 6000 || log.now_ms() - watched_at < 1000 ||
+           log.now_ms() - watched_at > 1200)
     {
         if (log.now_ms() > 40000)
             return 2;
@@ -120,8 +136,12 @@
     std::lock_guard lock(mutex);
     for (const auto& [id, count] : runs)
         log.line("%s ran %d requests", id.c_str(), count);
-    log.line("i-1's last run was %ld ms after the acknowledgement (drainMs %ld)", last, drain_ms);
-    log.line("%d runs at i-1 came later than drainMs after it, and later than contactMs after the lost answer", late);
+    log.line(
+        "i-1's last run was %ld ms after the acknowledgement (drainMs %ld)",
+        last, drain_ms);
+    log.line("%d runs at i-1 came later than drainMs after it, and later than "
+             "contactMs after the lost answer",
+             late);
     for (const auto& each : fleet)
         each->end();
     log.line("DRAIN %s", late > 0 ? "is broken" : "held");
--- a/review/standins-2/case9.cpp
+++ b/review/standins-2/case9.cpp
@@ -1,7 +1,7 @@
-// Case 9: the host that reads for its zone is killed and starts again. Of the list
-// of servers, which it reads as one that may be old, the store returns the first
-// page as it is and the second one as it was some seconds ago, before a server
-// drained. Requests must not reach that server any more.
+// Case 9: the host that reads for its zone is killed and starts again. Of the
+// list of servers, which it reads as one that may be old, the store returns the
+// first page as it is and the second one as it was some seconds ago, before a
+// server drained. Requests must not reach that server any more.
 #include "lab.hpp"
 
 using namespace lab;
@@ -13,7 +13,7 @@
 constexpr long contact_ms = 3000;   // bounds.contactMs
 constexpr long staleness_ms = 3000; // of the second page
 constexpr int hosts = 2;
-constexpr int other_servers = 500;  // of another service, on the first page
+constexpr int other_servers = 500; // of another service, on the first page
 
 } // namespace
 
@@ -31,10 +31,12 @@
     platform.staleness = [&](const message& call)
     {
         const auto target = call.word(1);
-        if (!trouble() || !drains || target.find("/servers?after=") == std::string::npos)
+        if (!trouble() || !drains ||
+            target.find("/servers?after=") == std::string::npos)
             return 0L;
         ++stale_pages;
-        log.line("the store answers %s with data that are %ld ms old", target.c_str(), staleness_ms);
+        log.line("the store answers %s with data that are %ld ms old",
+                 target.c_str(), staleness_ms);
         return staleness_ms;
     };
     std::atomic<int> reader_index{-1};
@@ -56,16 +58,21 @@
                 const auto id = request.field("request-id");
                 const auto by = id.substr(0, id.rfind('-'));
                 last[by] = now - drains_at;
-                const bool in_touch = touched_at.count(by) == 0 || now - touched_at[by] > contact_ms;
+                const bool in_touch = touched_at.count(by) == 0 ||
+                                      now - touched_at[by] > contact_ms;
                 if (last[by] > drain_ms && in_touch && late[by]++ % 20 == 0)
-                    log.line("%s runs at i-5, %ld ms after the acknowledgement that it drains", id.c_str(), last[by]);
+                    log.line("%s runs at i-5, %ld ms after the acknowledgement "
+                             "that it drains",
+                             id.c_str(), last[by]);
             }
         }
-        return send_all(handle, self.head(request) + "Content-Length: 2\r\n\r\nok");
+        return send_all(handle,
+                        self.head(request) + "Content-Length: 2\r\n\r\nok");
     };
     std::vector<std::unique_ptr<replica>> servers;
     for (int i = 1; i <= 5; ++i)
-        servers.push_back(std::make_unique<replica>(log, "i-" + std::to_string(i), run));
+        servers.push_back(
+            std::make_unique<replica>(log, "i-" + std::to_string(i), run));
     platform.put("config", "main", desired_state(7));
     // Servers of the other service, which gets no requests: they fill a page.
     platform.quiet = true;
@@ -81,7 +88,10 @@
     std::vector<std::unique_ptr<host>> fleet;
     for (int i = 0; i < hosts; ++i)
     {
-        fleet.push_back(std::make_unique<host>(log, folder.path(), "front-" + std::to_string(i + 1), "z1", "127.0.0." + std::to_string(71 + i), platform.further_address(i), sheet_bounds));
+        fleet.push_back(std::make_unique<host>(
+            log, folder.path(), "front-" + std::to_string(i + 1), "z1",
+            "127.0.0." + std::to_string(71 + i), platform.further_address(i),
+            sheet_bounds));
         fleet.back()->start(argv[2]);
     }
     platform.loses_answer = [&](const message& call, const json&, int tag)
@@ -108,7 +118,13 @@
                     const auto id = target->name() + "-" + std::to_string(n);
                     reader input(handle);
                     message answer;
-                    if (handle >= 0 && send_all(handle, request_head("GET", "/look/1", id, 1500) + "\r\n") && input.read(answer, clock_type::now() + milliseconds(2000)) == read_end::whole)
+                    if (handle >= 0 &&
+                        send_all(handle,
+                                 request_head("GET", "/look/1", id, 1500) +
+                                     "\r\n") &&
+                        input.read(answer,
+                                   clock_type::now() + milliseconds(2000)) ==
+                            read_end::whole)
                         answered += answer.status() == 200 ? 1 : 0;
                     else if (handle >= 0)
                     {
@@ -119,14 +135,16 @@
                 }
             });
     sleep_ms(3000);
-    // Something in the list changes, so that a watch is answered and tells who reads.
+    // Something in the list changes, so that a watch is answered and tells who
+    // reads.
     platform.put("servers", "i-1", servers[0]->entry("app", "z1", 17));
     sleep_ms(1500);
     if (reader_index < 0)
         return 2;
     auto& reading = *fleet[static_cast<std::size_t>(reader_index.load())];
     log.line("%s reads for its zone", reading.name().c_str());
-    platform.put("servers", "i-5", servers[4]->entry("app", "z1", 16, "draining"));
+    platform.put("servers", "i-5",
+                 servers[4]->entry("app", "z1", 16, "draining"));
     drains_at = log.now_ms();
     drains = true;
     sleep_ms(500);
@@ -151,11 +169,16 @@
     int sum = 0;
     for (const auto& each : fleet)
     {
-        log.line("%s: last run at i-5 %ld ms after the acknowledgement (drainMs %ld); %d later than that, in touch", each->name().c_str(), last[each->name()], drain_ms, late[each->name()]);
+        log.line("%s: last run at i-5 %ld ms after the acknowledgement "
+                 "(drainMs %ld); %d later than that, in touch",
+                 each->name().c_str(), last[each->name()], drain_ms,
+                 late[each->name()]);
         sum += late[each->name()];
     }
     for (const auto& each : fleet)
         each->end();
     log.line("DRAIN %s", sum > 0 ? "is broken" : "held");
-    leave(folder, answered < 100 || (trouble() && stale_pages == 0) ? 2 : sum > 0 ? 1 : 0);
+    leave(folder, answered < 100 || (trouble() && stale_pages == 0) ? 2
+                  : sum > 0                                         ? 1
+                                                                    : 0);
 }
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -56,7 +56,8 @@
 class record
 {
 public:
-    explicit record(const std::string& path) : m_file(std::fopen(path.c_str(), "w"))
+    explicit record(const std::string& path)
+        : m_file(std::fopen(path.c_str(), "w"))
     {
     }
 
@@ -94,7 +95,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    if (::bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+    if (::bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+            0 ||
         ::listen(handle, 512) != 0)
     {
         ::close(handle);
@@ -120,14 +122,16 @@
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (receive_buffer != 0)
-        ::setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        ::setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                     sizeof receive_buffer);
     const int on = 1;
     ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    if (::connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+    if (::connect(handle, reinterpret_cast<sockaddr*>(&address),
+                  sizeof address) != 0)
     {
         ::close(handle);
         return -1;
@@ -140,7 +144,8 @@
     std::size_t sent = 0;
     while (sent < bytes.size())
     {
-        const auto count = ::send(handle, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        const auto count = ::send(handle, bytes.data() + sent,
+                                  bytes.size() - sent, MSG_NOSIGNAL);
         if (count <= 0)
             return false;
         sent += static_cast<std::size_t>(count);
@@ -185,9 +190,9 @@
 enum class read_end
 {
     whole,
-    closed,      ///< the peer closed in order before a byte of a message
-    broken,      ///< closed or reset inside a message
-    reset,       ///< reset before a byte of a message
+    closed, ///< the peer closed in order before a byte of a message
+    broken, ///< closed or reset inside a message
+    reset,  ///< reset before a byte of a message
     timed_out
 };
 
@@ -200,18 +205,22 @@
     }
 
     /// Reads until `until`, or without a limit.
-    read_end read(message& into, std::optional<clock_type::time_point> until = std::nullopt)
+    read_end read(message& into,
+                  std::optional<clock_type::time_point> until = std::nullopt)
     {
         into = {};
         std::size_t end = 0;
         while ((end = m_bytes.find("\r\n\r\n")) == std::string::npos)
             if (const auto fault = fill(until); fault != read_end::whole)
-                return m_bytes.empty() ? fault : fault == read_end::timed_out ? fault : read_end::broken;
+                return m_bytes.empty()                ? fault
+                       : fault == read_end::timed_out ? fault
+                                                      : read_end::broken;
         parse_head(m_bytes.substr(0, end), into);
         m_bytes.erase(0, end + 4);
         if (into.field("transfer-encoding") == "chunked")
             return read_chunks(into, until);
-        const auto length = static_cast<std::size_t>(std::atol(into.field("content-length").c_str()));
+        const auto length = static_cast<std::size_t>(
+            std::atol(into.field("content-length").c_str()));
         while (m_bytes.size() < length)
             if (const auto fault = fill(until); fault != read_end::whole)
             {
@@ -227,11 +236,16 @@
     read_end fill(std::optional<clock_type::time_point> until)
     {
         pollfd waiting{m_handle, POLLIN, 0};
-        const auto left = until ? std::max<long>(0, std::chrono::duration_cast<milliseconds>(*until - clock_type::now()).count()) : -1;
+        const auto left =
+            until ? std::max<long>(0, std::chrono::duration_cast<milliseconds>(
+                                          *until - clock_type::now())
+                                          .count())
+                  : -1;
         if (::poll(&waiting, 1, static_cast<int>(left)) <= 0)
             return read_end::timed_out;
         char chunk[65536];
-        const auto count = ::recv(m_handle, chunk, std::min(sizeof chunk, m_most), 0);
+        const auto count =
+            ::recv(m_handle, chunk, std::min(sizeof chunk, m_most), 0);
         if (count == 0)
             return read_end::closed;
         if (count < 0)
@@ -240,9 +254,15 @@
         return read_end::whole;
     }
 
-    void set_most(std::size_t most) { m_most = most; }
+    void set_most(std::size_t most)
+    {
+        m_most = most;
+    }
 
-    std::string& bytes() { return m_bytes; }
+    std::string& bytes()
+    {
+        return m_bytes;
+    }
 
 private:
     static void parse_head(const std::string& head, message& into)
@@ -267,25 +287,29 @@
                 continue;
             auto name = line.substr(0, colon);
             for (auto& each : name)
-                each = static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
+                each = static_cast<char>(
+                    std::tolower(static_cast<unsigned char>(each)));
             auto value = line.substr(colon + 1);
             value.erase(0, value.find_first_not_of(' '));
             into.fields.emplace_back(name, value);
         }
     }
 
-    read_end read_chunks(message& into, std::optional<clock_type::time_point> until)
+    read_end read_chunks(message& into,
+                         std::optional<clock_type::time_point> until)
     {
         for (;;)
         {
             std::size_t end = 0;
             while ((end = m_bytes.find("\r\n")) == std::string::npos)
                 if (const auto fault = fill(until); fault != read_end::whole)
-                    return fault == read_end::timed_out ? fault : read_end::broken;
+                    return fault == read_end::timed_out ? fault
+                                                        : read_end::broken;
             const auto size = std::strtoul(m_bytes.c_str(), nullptr, 16);
             while (m_bytes.size() < end + 2 + size + 2)
                 if (const auto fault = fill(until); fault != read_end::whole)
-                    return fault == read_end::timed_out ? fault : read_end::broken;
+                    return fault == read_end::timed_out ? fault
+                                                        : read_end::broken;
             into.body += m_bytes.substr(end + 2, size);
             m_bytes.erase(0, end + 2 + size + 2);
             if (size == 0)
@@ -304,7 +328,8 @@
 public:
     using handler_t = std::function<void(int)>;
 
-    server(std::string ip, handler_t handler) : m_ip(std::move(ip)), m_handler(std::move(handler))
+    server(std::string ip, handler_t handler)
+        : m_ip(std::move(ip)), m_handler(std::move(handler))
     {
         m_listener = listen_at(m_ip, m_port);
         m_thread = std::thread(
@@ -312,11 +337,13 @@
             {
                 for (;;)
                 {
-                    const int handle = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+                    const int handle =
+                        ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
                     if (handle < 0)
                         return;
                     const int on = 1;
-                    ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+                    ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on,
+                                 sizeof on);
                     {
                         std::lock_guard lock(m_mutex);
                         m_open.insert(handle);
@@ -345,9 +372,15 @@
             ::shutdown(each, SHUT_RDWR);
     }
 
-    int port() const { return m_port; }
+    int port() const
+    {
+        return m_port;
+    }
 
-    std::string address() const { return m_ip + ":" + std::to_string(m_port); }
+    std::string address() const
+    {
+        return m_ip + ":" + std::to_string(m_port);
+    }
 
 private:
     std::string m_ip;
@@ -364,17 +397,30 @@
 {
 public:
     explicit store(record& log, const std::string& ip = "127.0.0.1")
-        : m_record(log), m_ip(ip), m_server(ip, [this](int handle) { serve(handle, 0); })
+        : m_record(log),
+          m_ip(ip),
+          m_server(ip,
+                   [this](int handle)
+                   {
+                       serve(handle, 0);
+                   })
     {
     }
 
-    std::string address() const { return m_server.address(); }
+    std::string address() const
+    {
+        return m_server.address();
+    }
 
     /// A further address of the same store.
     /// @param[in] tag  of the calls that come there, see loses_answer
     std::string further_address(int tag)
     {
-        m_further.push_back(std::make_unique<server>(m_ip, [this, tag](int handle) { serve(handle, tag); }));
+        m_further.push_back(std::make_unique<server>(m_ip,
+                                                     [this, tag](int handle)
+                                                     {
+                                                         serve(handle, tag);
+                                                     }));
         return m_further.back()->address();
     }
 
@@ -387,12 +433,20 @@
             return;
         ++m_revision;
         if (!object.is_object())
-            object = {{"metadata", {{"name", name}, {"created", m_revision}, {"finalizers", json::array()}, {"deleting", false}}}, {"status", nullptr}};
+            object = {{"metadata",
+                       {{"name", name},
+                        {"created", m_revision},
+                        {"finalizers", json::array()},
+                        {"deleting", false}}},
+                      {"status", nullptr}};
         object["spec"] = spec;
         object["metadata"]["revision"] = m_revision;
         m_history.push_back({m_revision, kind, object, false});
         if (!quiet)
-            m_record.line("store acknowledges %s/%s revision %lu: %s", kind.c_str(), name.c_str(), static_cast<unsigned long>(m_revision), spec.dump().substr(0, 120).c_str());
+            m_record.line("store acknowledges %s/%s revision %lu: %s",
+                          kind.c_str(), name.c_str(),
+                          static_cast<unsigned long>(m_revision),
+                          spec.dump().substr(0, 120).c_str());
         m_changed.notify_all();
     }
 
@@ -407,7 +461,9 @@
         object["metadata"]["revision"] = m_revision;
         m_objects[kind].erase(found);
         m_history.push_back({m_revision, kind, object, true});
-        m_record.line("store acknowledges the removal of %s/%s revision %lu", kind.c_str(), name.c_str(), static_cast<unsigned long>(m_revision));
+        m_record.line("store acknowledges the removal of %s/%s revision %lu",
+                      kind.c_str(), name.c_str(),
+                      static_cast<unsigned long>(m_revision));
         m_changed.notify_all();
     }
 
@@ -448,7 +504,8 @@
         clock_type::time_point at = clock_type::now();
     };
 
-    static std::string parameter(const std::string& target, const std::string& name)
+    static std::string parameter(const std::string& target,
+                                 const std::string& name)
     {
         const auto query = target.find('?');
         if (query == std::string::npos)
@@ -480,7 +537,11 @@
                 return;
             }
             const auto text = body.dump();
-            if (!send_all(handle, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text))
+            if (!send_all(handle, "HTTP/1.1 " + std::to_string(status) +
+                                      " X\r\nContent-Type: "
+                                      "application/json\r\nContent-Length: " +
+                                      std::to_string(text.size()) + "\r\n\r\n" +
+                                      text))
                 return;
         }
     }
@@ -496,20 +557,28 @@
         path = path.substr(prefix.size());
         const auto slash = path.find('/');
         const auto kind = path.substr(0, slash);
-        auto name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+        auto name =
+            slash == std::string::npos ? std::string() : path.substr(slash + 1);
         const auto status_end = name.rfind("/status");
-        const bool of_status = status_end != std::string::npos && status_end + 7 == name.size();
+        const bool of_status =
+            status_end != std::string::npos && status_end + 7 == name.size();
         if (of_status)
             name = name.substr(0, status_end);
         std::unique_lock lock(m_mutex);
         if (method == "GET" && name.empty())
         {
             if (const auto watch = parameter(target, "watch"); !watch.empty())
-                return wait_for_changes(lock, kind, std::stoull(watch), std::stol("0" + parameter(target, "waitMs")), body);
+                return wait_for_changes(
+                    lock, kind, std::stoull(watch),
+                    std::stol("0" + parameter(target, "waitMs")), body);
             auto revision = m_revision;
             const auto* listed = &m_objects[kind];
             std::map<std::string, json> objects;
-            if (const long age = parameter(target, "serializable") == "1" && staleness ? staleness(call) : 0; age > 0)
+            if (const long age =
+                    parameter(target, "serializable") == "1" && staleness
+                        ? staleness(call)
+                        : 0;
+                age > 0)
             {
                 // The state of that time.
                 listed = &objects;
@@ -520,19 +589,28 @@
                     revision = each.revision;
                     if (each.kind != kind)
                         continue;
-                    const auto name_of_it = each.object["metadata"]["name"].get<std::string>();
+                    const auto name_of_it =
+                        each.object["metadata"]["name"].get<std::string>();
                     if (each.removed)
                         objects.erase(name_of_it);
                     else
                         objects[name_of_it] = each.object;
                 }
             }
-            body = {{"items", json::array()}, {"hasMore", false}, {"storeRevision", revision}};
+            body = {{"items", json::array()},
+                    {"hasMore", false},
+                    {"storeRevision", revision}};
             std::size_t bytes = 0;
-            for (auto each = listed->upper_bound(parameter(target, "after")); each != listed->end(); ++each)
+            for (auto each = listed->upper_bound(parameter(target, "after"));
+                 each != listed->end(); ++each)
             {
-                const auto size = each->second["spec"].is_string() ? each->second["spec"].get_ref<const std::string&>().size() : 0;
-                if (body["items"].size() == page_size || (!body["items"].empty() && bytes + size > page_bytes))
+                const auto size = each->second["spec"].is_string()
+                                      ? each->second["spec"]
+                                            .get_ref<const std::string&>()
+                                            .size()
+                                      : 0;
+                if (body["items"].size() == page_size ||
+                    (!body["items"].empty() && bytes + size > page_bytes))
                 {
                     body["hasMore"] = true;
                     break;
@@ -560,7 +638,14 @@
                 return 409;
             }
             ++m_revision;
-            m_objects[kind][name] = {{"metadata", {{"name", name}, {"revision", m_revision}, {"created", m_revision}, {"finalizers", json::array()}, {"deleting", false}}}, {"spec", sent.value("spec", json())}, {"status", nullptr}};
+            m_objects[kind][name] = {{"metadata",
+                                      {{"name", name},
+                                       {"revision", m_revision},
+                                       {"created", m_revision},
+                                       {"finalizers", json::array()},
+                                       {"deleting", false}}},
+                                     {"spec", sent.value("spec", json())},
+                                     {"status", nullptr}};
         }
         else if (method == "PUT")
         {
@@ -568,7 +653,9 @@
             if (found == m_objects[kind].end())
                 return 404;
             auto& object = found->second;
-            if (const auto metadata = sent.value("metadata", json::object()); metadata.contains("revision") && metadata["revision"] != object["metadata"]["revision"])
+            if (const auto metadata = sent.value("metadata", json::object());
+                metadata.contains("revision") &&
+                metadata["revision"] != object["metadata"]["revision"])
             {
                 body = object;
                 return 409;
@@ -579,7 +666,9 @@
                 object[part] = sent.value(part, json());
                 object["metadata"]["revision"] = ++m_revision;
                 if (of_status)
-                    m_record.line("store: %s/%s has the status %s", kind.c_str(), name.c_str(), object[part].dump().c_str());
+                    m_record.line("store: %s/%s has the status %s",
+                                  kind.c_str(), name.c_str(),
+                                  object[part].dump().c_str());
             }
             else
             {
@@ -595,18 +684,23 @@
         return 200;
     }
 
-    int wait_for_changes(std::unique_lock<std::mutex>& lock, const std::string& kind, std::uint64_t revision, long wait_ms, json& body)
+    int wait_for_changes(std::unique_lock<std::mutex>& lock,
+                         const std::string& kind, std::uint64_t revision,
+                         long wait_ms, json& body)
     {
-        const auto until = clock_type::now() + milliseconds(std::min(wait_ms, 30000L));
+        const auto until =
+            clock_type::now() + milliseconds(std::min(wait_ms, 30000L));
         const auto add = [&]
         {
             body = {{"events", json::array()}, {"storeRevision", m_revision}};
             for (const auto& each : m_history)
                 if (each.kind == kind && each.revision > revision)
-                    body["events"].push_back({{"tombstone", each.removed}, {"object", each.object}});
+                    body["events"].push_back(
+                        {{"tombstone", each.removed}, {"object", each.object}});
             return !body["events"].empty();
         };
-        while (!add() && m_changed.wait_until(lock, until) != std::cv_status::timeout)
+        while (!add() &&
+               m_changed.wait_until(lock, until) != std::cv_status::timeout)
         {
         }
         add();
@@ -631,25 +725,53 @@
     /// @return false to close the connection
     using handler_t = std::function<bool(int, const message&, replica&)>;
 
-    replica(record& log, std::string id, handler_t handler, const std::string& ip = "127.0.0.1")
-        : m_record(log), m_id(std::move(id)), m_handler(std::move(handler)),
-          m_server(ip, [this](int handle) { serve(handle); })
+    replica(record& log, std::string id, handler_t handler,
+            const std::string& ip = "127.0.0.1")
+        : m_record(log),
+          m_id(std::move(id)),
+          m_handler(std::move(handler)),
+          m_server(ip,
+                   [this](int handle)
+                   {
+                       serve(handle);
+                   })
     {
     }
 
-    const std::string& id() const { return m_id; }
-    std::string address() const { return m_server.address(); }
-    record& log() { return m_record; }
-    void end() { m_server.end(); }
+    const std::string& id() const
+    {
+        return m_id;
+    }
+    std::string address() const
+    {
+        return m_server.address();
+    }
+    record& log()
+    {
+        return m_record;
+    }
+    void end()
+    {
+        m_server.end();
+    }
 
-    json entry(const std::string& service, const std::string& zone, int slots = 16, const std::string& state = "ready", const std::string& version = "v1") const
+    json entry(const std::string& service, const std::string& zone,
+               int slots = 16, const std::string& state = "ready",
+               const std::string& version = "v1") const
     {
-        return {{"service", service}, {"address", address()}, {"zone", zone}, {"version", version}, {"slots", slots}, {"state", state}, {"coldRemainingMs", 0}, {"sequence", 1}};
+        return {{"service", service},   {"address", address()},
+                {"zone", zone},         {"version", version},
+                {"slots", slots},       {"state", state},
+                {"coldRemainingMs", 0}, {"sequence", 1}};
     }
 
-    std::string head(const message& request, const std::string& status = "200 OK") const
+    std::string head(const message& request,
+                     const std::string& status = "200 OK") const
     {
-        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + request.field("request-id") + "\r\nResponse-Signature: " + m_id + "." + request.field("request-id") + "\r\n";
+        return "HTTP/1.1 " + status +
+               "\r\nRequest-Id: " + request.field("request-id") +
+               "\r\nResponse-Signature: " + m_id + "." +
+               request.field("request-id") + "\r\n";
     }
 
 private:
@@ -662,7 +784,10 @@
             const auto expected = request.field("expect-instance");
             if (!expected.empty() && expected != m_id)
             {
-                if (!send_all(handle, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n"))
+                if (!send_all(
+                        handle,
+                        "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: " +
+                            m_id + "\r\nContent-Length: 0\r\n\r\n"))
                     return;
                 continue;
             }
@@ -681,7 +806,10 @@
 class host
 {
 public:
-    host(record& log, const std::filesystem::path& folder, std::string name, std::string zone, const std::string& ip, const std::string& store_address, const std::string& bounds, int memory_mb = 260)
+    host(record& log, const std::filesystem::path& folder, std::string name,
+         std::string zone, const std::string& ip,
+         const std::string& store_address, const std::string& bounds,
+         int memory_mb = 260)
         : m_record(log), m_name(std::move(name)), m_ip(ip), m_folder(folder)
     {
         m_front = free_port(ip);
@@ -692,12 +820,21 @@
             peers = free_port(ip);
         while (peers > 65000);
         std::ofstream(m_settings)
-            << "nodeName = \"" << m_name << "\"\nrole = \"router\"\nmachineClass = \"front\"\nserves = [\"front\"]\nip = \"" << ip
-            << "\"\nzone = \"" << zone << "\"\nregion = \"r\"\ninternalPortRange = [" << peers << "," << peers + 15
-            << "]\nbootstrap = true\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n[listen]\nfront = \"" << front_address()
-            << "\"\nready = \"" << ip << ":" << m_ready << "\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = " << memory_mb << "\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
-            << "[bounds]\n" << bounds << "\n[platform]\naddress = \"" << store_address
-            << "\"\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nminTtlMs = 1000\n";
+            << "nodeName = \"" << m_name
+            << "\"\nrole = \"router\"\nmachineClass = \"front\"\nserves = "
+               "[\"front\"]\nip = \""
+            << ip << "\"\nzone = \"" << zone
+            << "\"\nregion = \"r\"\ninternalPortRange = [" << peers << ","
+            << peers + 15
+            << "]\nbootstrap = true\ndiscovery = \"platform\"\nentry = "
+               "\"vip\"\nheartbeatMs = 1200\n[listen]\nfront = \""
+            << front_address() << "\"\nready = \"" << ip << ":" << m_ready
+            << "\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = "
+            << memory_mb << "\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+            << "[bounds]\n"
+            << bounds << "\n[platform]\naddress = \"" << store_address
+            << "\"\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = "
+               "2000\nhistoryS = 20\nvalueBytes = 1048576\nminTtlMs = 1000\n";
     }
 
     ~host()
@@ -723,11 +860,13 @@
         if (m_pid == 0)
         {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+            const int out =
+                ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, 1);
             ::dup2(out, 2);
             ::setenv("RHUBARBGRADE_BOOT", m_settings.c_str(), 1);
-            ::execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
+            ::execl(program.c_str(), program.c_str(),
+                    static_cast<char*>(nullptr));
             ::_exit(127);
         }
         m_record.line("%s starts", m_name.c_str());
@@ -740,8 +879,11 @@
             return false;
         reader input(handle);
         message answer;
-        const bool answered = send_all(handle, "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n") &&
-                              input.read(answer, clock_type::now() + milliseconds(1000)) == read_end::whole;
+        const bool answered =
+            send_all(handle, "GET /api/ready HTTP/1.1\r\nHost: "
+                             "x\r\nConnection: close\r\n\r\n") &&
+            input.read(answer, clock_type::now() + milliseconds(1000)) ==
+                read_end::whole;
         ::close(handle);
         return answered && answer.status() == 200;
     }
@@ -764,14 +906,17 @@
         int status = 0;
         if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
             return m_pid <= 0;
-        m_record.line("%s has ended: status %d, signal %d", m_name.c_str(), WIFEXITED(status) ? WEXITSTATUS(status) : -1, WIFSIGNALED(status) ? WTERMSIG(status) : 0);
+        m_record.line("%s has ended: status %d, signal %d", m_name.c_str(),
+                      WIFEXITED(status) ? WEXITSTATUS(status) : -1,
+                      WIFSIGNALED(status) ? WTERMSIG(status) : 0);
         m_pid = 0;
         return true;
     }
 
     void signal(int number)
     {
-        m_record.line("%s gets signal %d (%s)", m_name.c_str(), number, ::strsignal(number));
+        m_record.line("%s gets signal %d (%s)", m_name.c_str(), number,
+                      ::strsignal(number));
         ::kill(m_pid, number);
         if (number == SIGKILL)
         {
@@ -802,11 +947,26 @@
         return 0;
     }
 
-    pid_t pid() const { return m_pid; }
-    const std::string& name() const { return m_name; }
-    const std::string& ip() const { return m_ip; }
-    int front() const { return m_front; }
-    std::string front_address() const { return m_ip + ":" + std::to_string(m_front); }
+    pid_t pid() const
+    {
+        return m_pid;
+    }
+    const std::string& name() const
+    {
+        return m_name;
+    }
+    const std::string& ip() const
+    {
+        return m_ip;
+    }
+    int front() const
+    {
+        return m_front;
+    }
+    std::string front_address() const
+    {
+        return m_ip + ":" + std::to_string(m_front);
+    }
 
 private:
     record& m_record;
@@ -821,17 +981,32 @@
 
 /// The bounds of the sheet "dysoa".
 inline const char* const sheet_bounds =
-    "seedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = 8\n"
-    "lossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nouterMs = 5000\nstrictRevocation = false\n"
-    "revokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetSlack = 54\nexposureShare = 0.1\n"
-    "exposureSlack = 50\nrollbackMs = 5000\nrecoveryS = 12\npassMs = 120\nreuseWindowS = 7.7\nsettle_ms = 1500\n";
+    "seedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = "
+    "4\ndrainMs = 2000\ngraceS = 8\n"
+    "lossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nouterMs = "
+    "5000\nstrictRevocation = false\n"
+    "revokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = "
+    "10\nretryBudgetSlack = 54\nexposureShare = 0.1\n"
+    "exposureSlack = 50\nrollbackMs = 5000\nrecoveryS = 12\npassMs = "
+    "120\nreuseWindowS = 7.7\nsettle_ms = 1500\n";
 
 /// A desired state with a route of each kind, as in the sheet "dysoa".
 inline json desired_state(int version)
 {
-    const auto route = [](const char* prefix, const char* kind, const char* service, double timeout, int attempts, bool resumable)
+    const auto route = [](const char* prefix, const char* kind,
+                          const char* service, double timeout, int attempts,
+                          bool resumable)
     {
-        json made{{"name", std::string("r-") + kind}, {"hostname", "a.example"}, {"pathPrefix", prefix}, {"kind", kind}, {"timeoutMs", timeout}, {"targetLatencyMs", 300}, {"priority", 1}, {"service", service}, {"maxAttempts", attempts}, {"public", false}};
+        json made{{"name", std::string("r-") + kind},
+                  {"hostname", "a.example"},
+                  {"pathPrefix", prefix},
+                  {"kind", kind},
+                  {"timeoutMs", timeout},
+                  {"targetLatencyMs", 300},
+                  {"priority", 1},
+                  {"service", service},
+                  {"maxAttempts", attempts},
+                  {"public", false}};
         if (std::string(kind) == "stream")
         {
             made["stickySessions"] = true;
@@ -841,15 +1016,48 @@
         return made;
     };
     return {{"version", version},
-            {"routes", {route("/query/", "stream", "pool", 15000.0, 1, false), route("/summary/", "stream", "pool", 3000, 2, true), route("/file/", "non_idempotent", "app", 1500, 1, false), route("/look/", "idempotent", "app", 1500, 2, false)}},
-            {"services", {{{"name", "pool"}, {"healthPath", "/healthz"}, {"maxConnections", 620}, {"protocol", "h1"}, {"tls", false}, {"engine", {{"slots", 128}, {"kvCapacityTokens", 652207}, {"stride", 4}, {"models", {{{"name", "m"}}}}}}}, {{"name", "app"}, {"healthPath", "/healthz"}, {"maxConnections", 100}, {"protocol", "h1"}, {"tls", false}}}},
-            {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
-            {"tenants", {{{"name", "clerks"}, {"apiKeys", {"key-1"}}, {"priority", 1}, {"prepaid", 8866310}}}}};
+            {"routes",
+             {route("/query/", "stream", "pool", 15000.0, 1, false),
+              route("/summary/", "stream", "pool", 3000, 2, true),
+              route("/file/", "non_idempotent", "app", 1500, 1, false),
+              route("/look/", "idempotent", "app", 1500, 2, false)}},
+            {"services",
+             {{{"name", "pool"},
+               {"healthPath", "/healthz"},
+               {"maxConnections", 620},
+               {"protocol", "h1"},
+               {"tls", false},
+               {"engine",
+                {{"slots", 128},
+                 {"kvCapacityTokens", 652207},
+                 {"stride", 4},
+                 {"models", {{{"name", "m"}}}}}}},
+              {{"name", "app"},
+               {"healthPath", "/healthz"},
+               {"maxConnections", 100},
+               {"protocol", "h1"},
+               {"tls", false}}}},
+            {"limits",
+             {{"maxHeaderBytes", 16384},
+              {"maxBodyBytes", 4194304},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}},
+            {"tenants",
+             {{{"name", "clerks"},
+               {"apiKeys", {"key-1"}},
+               {"priority", 1},
+               {"prepaid", 8866310}}}}};
 }
 
-inline std::string request_head(const std::string& method, const std::string& target, const std::string& id, long deadline_ms, const std::string& more = "")
+inline std::string request_head(const std::string& method,
+                                const std::string& target,
+                                const std::string& id, long deadline_ms,
+                                const std::string& more = "")
 {
-    return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Token key-1\r\n" + more;
+    return method + " " + target +
+           " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
+           "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+           "\r\nAuthorization: Token key-1\r\n" + more;
 }
 
 /// A folder for settings and logs, removed at the end.
@@ -858,7 +1066,9 @@
 public:
     temporary_folder()
     {
-        std::string pattern = (std::filesystem::temp_directory_path() / "review2-XXXXXX").string();
+        std::string pattern =
+            (std::filesystem::temp_directory_path() / "review2-XXXXXX")
+                .string();
         m_path = ::mkdtemp(pattern.data());
     }
 
@@ -871,7 +1081,10 @@
             std::fprintf(stderr, "logs: %s\n", m_path.c_str());
     }
 
-    const std::filesystem::path& path() const { return m_path; }
+    const std::filesystem::path& path() const
+    {
+        return m_path;
+    }
 
 private:
     std::filesystem::path m_path;
