Keep one page of a list at a time, and bound what is kept of it

Callers saw: with 130 entries of 1 MB of another writer among the endpoints, each host of 110 MB exceeded its memory at each start; nothing was served.

Cause: a list's pages were all kept, with the whole spec of each object, until the last one had been read.

Change: a page is decoded, reported and freed before the next one is read. What a host keeps of endpoints, moves, evacuated zones and names of unusable entries is bounded, and so are the lines that it logs of them.

--- a/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
+++ b/include/rhubarbgrade/detail/fleet/endpoint_book.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <map>    // map
-#include <set>    // set
-#include <string> // string
-#include <vector> // vector
+#include <cstddef> // size_t
+#include <map>     // map
+#include <set>     // set
+#include <string>  // string
+#include <vector>  // vector
 
 #include <rhubarbgrade/detail/base/types.hpp>           // time_point_t
 #include <rhubarbgrade/detail/fleet/endpoint_entry.hpp> // endpoint_entry
@@ -49,8 +50,28 @@
     time_point_t failing_since{};   ///< first unanswered call after it
     time_point_t back_since{};      ///< first answered call after an outage
     bool reachable = false;         ///< whether the last call was answered
+    std::size_t bytes = 0;          ///< memory of the entries, see entry_bytes
 };
 
+/// @brief Bound of the memory of the entries of a list, in bytes. Entries are
+///        copied for the traffic thread and for peers, so a host needs several
+///        times as much. 2,500 endpoints take a quarter of it.
+constexpr std::size_t max_list_bytes = std::size_t{4} << 20U;
+
+/// @brief Memory that an entry takes in the registry, in bytes.
+std::size_t entry_bytes(const endpoint_entry& entry);
+
+/// @brief The entries of a list that is being read.
+struct entry_list
+{
+    std::vector<endpoint_entry> entries;
+    std::size_t bytes = 0;    ///< of the entries
+    std::size_t left_out = 0; ///< entries beyond @ref max_list_bytes
+};
+
+/// @brief Adds an entry, unless the list is full.
+void append_entry(entry_list& list, endpoint_entry entry);
+
 /// @brief Shortest outage of the store in which an entry can lapse: an entry
 ///        that was renewed just before it misses three heartbeats of 1.2 s, one
 ///        of which may have been due before the outage. A margin is taken off.
@@ -76,8 +97,10 @@
 /// A call that fails while others are answered is none: a watch may be cut off.
 bool in_outage(const endpoint_registry& book, time_point_t now);
 
-/// @brief Inserts or replaces an entry.
-void upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
+/// @brief Inserts or replaces an entry. A new one is left out if the registry
+///        is full.
+/// @return whether the registry has the entry
+bool upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
                      time_point_t now);
 
 /// @brief The entry as others are told of it.
--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -7,6 +7,7 @@
 #include <set>         // set
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // move, pair
 #include <vector>      // vector
 
 namespace rhubarbgrade
@@ -74,10 +75,36 @@
     return now - since >= min_lapse_outage;
 }
 
-void upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
+std::size_t entry_bytes(const endpoint_entry& entry)
+{
+    return sizeof(std::pair<const std::string, listed_endpoint>) +
+           2 * entry.id.size() + entry.service.size() +
+           entry.address.ip.size() + entry.zone.size() + entry.version.size();
+}
+
+void append_entry(entry_list& list, endpoint_entry entry)
+{
+    const auto bytes = entry_bytes(entry);
+    if (list.bytes + bytes > max_list_bytes)
+    {
+        ++list.left_out;
+        return;
+    }
+    list.bytes += bytes;
+    list.entries.push_back(std::move(entry));
+}
+
+bool upsert_endpoint(endpoint_registry& book, const endpoint_entry& entry,
                      time_point_t now)
 {
+    const auto bytes = entry_bytes(entry);
+    if (!book.endpoints.contains(entry.id) &&
+        book.bytes + bytes > max_list_bytes)
+        return false;
     auto& known = book.endpoints[entry.id];
+    if (!known.entry.id.empty())
+        book.bytes -= entry_bytes(known.entry);
+    book.bytes += bytes;
     if (known.entry.id.empty() || known.entry.started != entry.started)
     {
         const auto former = book.former.find(entry.id);
@@ -93,6 +120,7 @@
     known.kept_until = {};
     known.held_until = {};
     book.former.erase(entry.id);
+    return true;
 }
 
 endpoint_entry shared_entry(const listed_endpoint& endpoint, time_point_t now)
@@ -165,7 +193,8 @@
         const auto former = book.former.find(entry.id);
         const bool had_left = former != book.former.end() &&
                               entry.started <= former->second.started;
-        upsert_endpoint(book, entry, now);
+        if (!upsert_endpoint(book, entry, now))
+            continue;
         auto& listed = book.endpoints[entry.id];
         listed.cold_until = std::max(listed.cold_until, cold_until);
         if (had_left)
@@ -201,6 +230,7 @@
              may_be_lapse(book, now));
         if (known.gone && !kept)
         {
+            book.bytes -= entry_bytes(known.entry);
             it = book.endpoints.erase(it);
             continue;
         }
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -49,6 +49,19 @@
 /// Entries that name no endpoint and are remembered.
 constexpr std::size_t max_unusable = 1000;
 
+/// Orders of moves that are read from a list; each concerns another service.
+constexpr std::size_t max_moves = 1000;
+
+/// Evacuated zones that are read from a list; each message to other hosts names
+/// them, and has room for twice as many of the longest names.
+constexpr std::size_t max_evacuated_zones = 100;
+
+/// Objects of the store that are reported as ignored in a @ref log_interval.
+constexpr std::size_t max_ignored_lines = 20;
+
+/// Longest reason in such a report, in bytes; it may quote the object.
+constexpr std::size_t max_reason_bytes = 300;
+
 /// Time after the start in which a host learns whether others read the store:
 /// it reports as soon as it has read the account, and is answered at once.
 constexpr milliseconds introduction{400};
@@ -82,6 +95,12 @@
     return std::chrono::duration_cast<milliseconds>(now - at).count();
 }
 
+/// Text of an error that may quote an object of any size.
+std::string short_message(const error& fault)
+{
+    return fault.message().substr(0, max_reason_bytes);
+}
+
 /// Shortest time between two checks of the state's age.
 constexpr milliseconds age_check_period{50};
 
@@ -144,6 +163,7 @@
       m_crashes(settings.host),
       m_limits(settings.host),
       m_brittle(settings.host),
+      m_ignored_log(max_ignored_lines),
       m_started(time_point_t::clock::now()),
       m_started_at_ms(unix_time_ms()),
       m_confirmed_at(m_started)
@@ -326,11 +346,21 @@
     {
         return settled_revision();
     };
-    listener.snapshot = [this](const platform::object_page& list)
+    const auto spec = std::make_shared<std::string>();
+    listener.list_reset = [spec]
+    {
+        *spec = std::string();
+    };
+    listener.listed = [spec](const platform::stored_object& object)
     {
-        for (const auto& each : list.objects)
-            if (each.name == platform::configuration_name)
-                apply_configuration(each.spec);
+        if (object.name == platform::configuration_name)
+            *spec = object.spec;
+    };
+    listener.list_ended = [this, spec](const list_summary&)
+    {
+        if (!spec->empty())
+            apply_configuration(*spec);
+        *spec = std::string();
     };
     listener.changed = [this](const auto& event)
     {
@@ -359,25 +389,34 @@
     {
         return m_position.era == m_store.era() ? m_position.revision : 0;
     };
-    listener.snapshot = [this](const platform::object_page& list)
+    const auto listed = std::make_shared<entry_list>();
+    listener.list_reset = [listed]
     {
-        std::vector<endpoint_entry> entries;
-        for (const auto& each : list.objects)
-        {
-            auto entry = platform::decode_endpoint(each);
-            if (entry)
-                entries.push_back(std::move(*entry));
-            else
-                report_unusable(each, entry.error());
-        }
+        *listed = {};
+    };
+    listener.listed = [this, listed](const platform::stored_object& object)
+    {
+        auto entry = platform::decode_endpoint(object);
+        if (entry)
+            append_entry(*listed, std::move(*entry));
+        else
+            report_unusable(object, entry.error());
+    };
+    listener.list_ended = [this, listed](const list_summary& list)
+    {
+        const auto read = std::exchange(*listed, {});
+        if (read.left_out != 0)
+            spdlog::error("event=endpoints_left_out kept={} bytes={} "
+                          "left_out={}",
+                          read.entries.size(), read.bytes, read.left_out);
         const auto now = time_point_t::clock::now();
-        if (list.more)
-            add_endpoints(m_endpoints, entries, now);
+        if (!list.complete)
+            add_endpoints(m_endpoints, read.entries, now);
         else if (m_endpoints_known && m_store.era() != m_listed_era)
-            restore_endpoints(m_endpoints, entries, now);
+            restore_endpoints(m_endpoints, read.entries, now);
         else
-            replace_endpoints(m_endpoints, entries, now);
-        m_list_incomplete = list.more;
+            replace_endpoints(m_endpoints, read.entries, now);
+        m_list_incomplete = !list.complete;
         if (!m_list_incomplete || m_listed_era == 0)
             m_listed_era = m_store.era();
         set_endpoints_known(now);
@@ -417,14 +456,17 @@
 
 watch_listener node_control::make_move_listener()
 {
-    const auto apply_object = [this](const platform::stored_object& object)
+    const auto order_of = [this](const platform::stored_object& object)
     {
-        const auto order = platform::decode_move(object);
-        if (order)
-            m_moves.apply_order(*order, time_point_t::clock::now(),
-                                m_store.era());
-        else
-            spdlog::warn("ignored a move object: {}", order.error().message());
+        auto order = platform::decode_move(object);
+        if (!order && m_ignored_log.take())
+            spdlog::warn("ignored a move object: {}",
+                         short_message(order.error()));
+        return order;
+    };
+    const auto apply_order = [this](const move_order& order)
+    {
+        m_moves.apply_order(order, time_point_t::clock::now(), m_store.era());
     };
     watch_listener listener;
     listener.reached = [](std::uint64_t) {};
@@ -436,19 +478,36 @@
     {
         return settled_revision();
     };
-    listener.snapshot = [this, apply_object](const platform::object_page& list)
+    const auto listed = std::make_shared<std::vector<move_order>>();
+    listener.list_reset = [listed]
+    {
+        *listed = {};
+    };
+    listener.listed =
+        [this, listed, order_of](const platform::stored_object& object)
+    {
+        auto order = order_of(object);
+        if (!order)
+            return;
+        if (listed->size() < max_moves)
+            listed->push_back(std::move(*order));
+        else if (m_ignored_log.take())
+            spdlog::error("event=move_left_out service={} kept={}",
+                          platform::printable_name(object.name), max_moves);
+    };
+    listener.list_ended = [this, listed, apply_order](const list_summary&)
     {
         m_moves_known = true;
-        for (const auto& each : list.objects)
-            apply_object(each);
+        for (const auto& each : std::exchange(*listed, {}))
+            apply_order(each);
         publish();
     };
-    listener.changed = [this, apply_object](const auto& event)
+    listener.changed = [this, order_of, apply_order](const auto& event)
     {
         if (event.removed)
             m_moves.remove(event.object.name);
-        else
-            apply_object(event.object);
+        else if (const auto order = order_of(event.object))
+            apply_order(*order);
         publish();
     };
     listener.answered = [this](bool answered)
@@ -460,12 +519,12 @@
 
 watch_listener node_control::make_evacuation_listener()
 {
-    const auto zone_of = [](const platform::stored_object& object)
+    const auto zone_of = [this](const platform::stored_object& object)
     {
         auto zone = platform::decode_evacuation(object);
-        if (!zone)
+        if (!zone && m_ignored_log.take())
             spdlog::warn("event=evacuation_ignored revision={} {}",
-                         object.revision, zone.error().message());
+                         object.revision, short_message(zone.error()));
         return zone;
     };
     watch_listener listener;
@@ -484,14 +543,31 @@
         const auto& list = m_evacuations.list;
         return list.era == m_store.era() ? list.revision : 0;
     };
-    listener.snapshot = [this, zone_of](const platform::object_page& list)
-    {
-        evacuation_list evacuations{m_store.era(), list.revision, {}};
-        if (list.more)
-            evacuations.zones = m_evacuations.list.zones;
-        for (const auto& each : list.objects)
-            if (auto zone = zone_of(each))
-                evacuations.zones.insert(std::move(*zone));
+    const auto listed = std::make_shared<std::set<std::string>>();
+    listener.list_reset = [listed]
+    {
+        listed->clear();
+    };
+    listener.listed =
+        [this, listed, zone_of](const platform::stored_object& object)
+    {
+        auto zone = zone_of(object);
+        if (!zone)
+            return;
+        if (listed->size() < max_evacuated_zones)
+            listed->insert(std::move(*zone));
+        else if (m_ignored_log.take())
+            spdlog::error("event=evacuation_left_out zone={} kept={}",
+                          platform::printable_name(object.name),
+                          max_evacuated_zones);
+    };
+    listener.list_ended = [this, listed](const list_summary& list)
+    {
+        evacuation_list evacuations{m_store.era(), list.revision,
+                                    std::exchange(*listed, {})};
+        if (!list.complete)
+            evacuations.zones.insert(m_evacuations.list.zones.begin(),
+                                     m_evacuations.list.zones.end());
         apply_evacuations(evacuations);
     };
     listener.changed = [this, zone_of](const auto& event)
@@ -785,8 +861,11 @@
     const auto entry = platform::decode_endpoint(object);
     if (entry)
     {
-        upsert_endpoint(m_endpoints, *entry, time_point_t::clock::now());
-        if (entry->leaving)
+        if (!upsert_endpoint(m_endpoints, *entry, time_point_t::clock::now()))
+            report_unusable(
+                object,
+                {errc::too_large, "apply endpoint", {}, "the list is full"});
+        else if (entry->leaving)
             spdlog::info("endpoint {} is leaving, revision {}", entry->id,
                          object.revision);
     }
@@ -802,11 +881,12 @@
 {
     if (m_unusable.size() >= max_unusable)
         m_unusable.clear();
-    auto& reported = m_unusable[object.name];
-    if (std::exchange(reported, object.revision) != object.revision)
+    auto& reported = m_unusable[hash64(object.name)];
+    if (std::exchange(reported, object.revision) != object.revision &&
+        m_ignored_log.take())
         spdlog::warn("event=endpoint_ignored name={} revision={} {}",
                      platform::printable_name(object.name), object.revision,
-                     fault.message());
+                     short_message(fault));
 }
 
 void node_control::publish()
@@ -1179,6 +1259,8 @@
         if (now >= next_log)
         {
             next_log = now + log_interval;
+            if (const auto count = m_ignored_log.renew(); count != 0)
+                spdlog::warn("event=objects_ignored unlogged={}", count);
             m_escrow.log_calls();
             m_members.log_counts();
             spdlog::info(
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -27,6 +27,7 @@
 #include "crash_pool.hpp"                 // crash_pool
 #include "escrow_keeper.hpp"              // escrow_keeper
 #include "limit_pool.hpp"                 // limit_pool
+#include "log_quota.hpp"                  // log_quota
 #include "member_keeper.hpp"              // member_keeper
 #include "move_keeper.hpp"                // move_keeper
 #include "store_reader.hpp"               // store_reader
@@ -196,8 +197,10 @@
     limit_pool m_limits;
     limit_pool m_brittle; ///< rejections that endpoints survive
     endpoint_registry m_endpoints;
-    /// Revisions of the entries that name no endpoint, by name.
-    std::map<std::string, std::uint64_t> m_unusable;
+    /// Revisions of the entries that name no endpoint, by the hash of the name,
+    /// which may be long.
+    std::map<std::uint64_t, std::uint64_t> m_unusable;
+    log_quota m_ignored_log; ///< of objects that are not used
     evacuation_book m_evacuations;
     cold_evidence m_cold_evidence;
     std::shared_ptr<const deployment> m_configuration;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm> // max, min
 #include <chrono>    // duration_cast
+#include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
-#include <iterator>  // make_move_iterator
 #include <optional>  // optional
 #include <random>    // minstd_rand, uniform_int_distribution
 #include <string>    // string
@@ -68,20 +68,24 @@
     milliseconds m_next{min_retry_pause};
 };
 
-/// Reads the pages of a list; empty if a call fails or can't be decoded. If a
-/// page names no position behind it, the list ends there, with @c more set.
-asio::awaitable<std::optional<platform::object_page>>
-list_all(store_client& store, const std::string& kind, bool stale_allowed)
+/// Reads a list page by page and reports its objects; empty if a call fails or
+/// can't be decoded. No page is kept while the next one is read. If a page
+/// names no position behind it, the list ends there and isn't complete.
+asio::awaitable<std::optional<list_summary>>
+read_list(store_client& store, const std::string& kind, bool stale_allowed,
+          const watch_listener& listener)
 {
-    platform::object_page all;
+    list_summary list;
     page_cursor cursor;
     std::uint64_t era = 0;
+    std::size_t objects = 0;
+    std::size_t unreadable = 0;
     for (;;)
     {
         const bool first = cursor.after().empty();
         auto target =
             platform::list_target(kind, cursor.after(), stale_allowed);
-        const auto response = co_await store.call(
+        auto response = co_await store.call(
             call_purpose::list, verb::get, std::move(target), {}, list_timeout);
         if (!response.is(200))
         {
@@ -91,15 +95,14 @@
                          response.status, response.too_large);
             co_return std::nullopt;
         }
-        auto page = platform::decode_list(response.body);
+        const auto page = platform::decode_list(response.body);
         if (!page)
         {
             spdlog::warn("{}", page.error().message());
             co_return std::nullopt;
         }
-        if (page->unreadable != 0)
-            spdlog::warn("event=objects_unreadable kind={} count={}", kind,
-                         page->unreadable);
+        response.body = std::string();
+        unreadable += page->unreadable;
         // Pages of two eras of the store are no list.
         if (first)
             era = store.era();
@@ -108,20 +111,24 @@
         // A watch from the first page's revision also reports the changes that
         // were made while the later pages were read.
         if (first)
-            all.revision = page->revision;
-        all.more = page->more;
-        all.objects.insert(all.objects.end(),
-                           std::make_move_iterator(page->objects.begin()),
-                           std::make_move_iterator(page->objects.end()));
-        if (!page->more)
-            co_return all;
+            list.revision = page->revision;
+        for (const auto& each : page->objects)
+            listener.listed(each);
+        objects += page->objects.size();
+        list.complete = !page->more;
+        if (list.complete)
+            break;
         if (!cursor.advance(*page))
         {
             spdlog::warn("event=list_incomplete kind={} objects={}", kind,
-                         all.objects.size());
-            co_return all;
+                         objects);
+            break;
         }
     }
+    if (unreadable != 0)
+        spdlog::warn("event=objects_unreadable kind={} count={}", kind,
+                     unreadable);
+    co_return list;
 }
 
 /// Reports changes from a revision on; returns when the kind has to be listed
@@ -130,8 +137,9 @@
 asio::awaitable<void> watch_from(store_client& store, watch_gate& gate,
                                  const std::string& kind,
                                  const watch_listener& listener,
-                                 std::uint64_t revision, bool complete)
+                                 list_summary list)
 {
+    auto revision = list.revision;
     constexpr unsigned gone = 410;
     const auto relist_at = time_point_t::clock::now() + relist_interval;
     bool changed = false;
@@ -190,7 +198,8 @@
         revision = page->revision;
         listener.reached(revision);
         changed = changed || !page->events.empty() || page->unreadable != 0;
-        if (!complete && changed && time_point_t::clock::now() >= relist_at)
+        if (!list.complete && changed &&
+            time_point_t::clock::now() >= relist_at)
             co_return;
         if (!page->events.empty())
             co_await gate.pause(batch_time);
@@ -208,22 +217,24 @@
         if (!gate.open() && listener.known())
             co_await gate.wait_until_open();
         const bool stale_allowed = !gate.open();
-        auto page = co_await list_all(store, kind, stale_allowed);
+        listener.list_reset();
+        const auto list =
+            co_await read_list(store, kind, stale_allowed, listener);
         // Without the gate, an answer tells nothing of a later state.
         if (!stale_allowed)
-            listener.answered(page.has_value());
-        if (!page)
+            listener.answered(list.has_value());
+        if (!list)
         {
+            listener.list_reset();
             co_await gate.pause(pauses.next());
             continue;
         }
         pauses.reset();
         if (!stale_allowed || !listener.known())
-            listener.snapshot(*page);
-        const auto revision = page->revision;
-        const bool complete = !page->more;
-        page.reset(); // a watch may last for hours
-        co_await watch_from(store, gate, kind, listener, revision, complete);
+            listener.list_ended(*list);
+        else
+            listener.list_reset();
+        co_await watch_from(store, gate, kind, listener, *list);
     }
 }
 
--- a/src/store/watcher.hpp
+++ b/src/store/watcher.hpp
@@ -7,7 +7,7 @@
 
 #include <boost/asio/awaitable.hpp> // awaitable
 
-#include <platform/store_calls.hpp> // object_event, object_page
+#include <platform/store_calls.hpp> // object_event, stored_object
 
 namespace rhubarbgrade
 {
@@ -15,14 +15,25 @@
 class store_client;
 class watch_gate;
 
+/// @brief What is known of a list once its objects have been reported.
+struct list_summary
+{
+    std::uint64_t revision = 0; ///< of the store
+    bool complete = false; ///< if not, objects that it lacks may still exist
+};
+
 /// @brief Callbacks of @ref list_and_watch.
 struct watch_listener
 {
-    /// All objects of the kind and the store's revision; called at the start
-    /// and each time that the kind has been listed again. If @c more is set,
-    /// the list could not be read to its end: the objects that it lacks may
-    /// still exist.
-    std::function<void(const platform::object_page&)> snapshot;
+    /// The kind is about to be listed, or the list has failed or isn't used:
+    /// the objects that were reported by @c listed are obsolete.
+    std::function<void()> list_reset;
+    /// One object of the list. A listener keeps what it needs of it only: the
+    /// list may be far larger than the memory of the host.
+    std::function<void(const platform::stored_object&)> listed;
+    /// All objects of the list have been reported, and are in force; called at
+    /// the start and each time that the kind has been listed again.
+    std::function<void(const list_summary&)> list_ended;
     /// One object has been created, changed or removed.
     std::function<void(const platform::object_event&)> changed;
     /// All changes up to a revision of the store have been reported.
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -52,6 +52,7 @@
 {
 
 constexpr std::size_t page_size = 5; // small, so that tests read several pages
+constexpr std::size_t page_bytes = 1'000'000;
 
 struct change
 {
@@ -86,16 +87,19 @@
         const std::lock_guard lock(m_mutex);
         json items = json::array();
         bool has_more = false;
-        for (const auto& [name, object] : m_kinds[kind])
+        std::size_t bytes = 0;
+        const auto& objects = m_kinds[kind];
+        for (auto it = objects.upper_bound(after); it != objects.end(); ++it)
         {
-            if (name <= after)
-                continue;
-            if (items.size() == page_size)
+            const auto size = it->second.dump().size();
+            if (items.size() == page_size ||
+                (!items.empty() && bytes + size > page_bytes))
             {
                 has_more = true;
                 break;
             }
-            items.push_back(object);
+            bytes += size;
+            items.push_back(it->second);
         }
         return {{"items", items},
                 {"hasMore", has_more},
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -245,6 +245,43 @@
           std::vector<endpoint_entry>{old_one});
 }
 
+TEST_CASE("the entries of a host list stay within their memory", "[fleet]")
+{
+    const auto now = time_point_t() + milliseconds(100000);
+    const auto make_entry = [](std::size_t number)
+    {
+        endpoint_entry entry;
+        entry.id = std::to_string(1000000 + number);
+        entry.service = "registry";
+        entry.zone = std::string(250, 'z');
+        entry.version = std::string(250, 'v');
+        return entry;
+    };
+    entry_list list;
+    constexpr std::size_t count = 10000;
+    for (std::size_t i = 0; i < count; ++i)
+        append_entry(list, make_entry(i));
+    CHECK(list.bytes <= max_list_bytes);
+    CHECK(list.entries.size() + list.left_out == count);
+    CHECK(list.left_out != 0);
+    // The target size fits with names of that length.
+    CHECK(list.entries.size() > 2500);
+
+    endpoint_registry book;
+    replace_endpoints(book, list.entries, now);
+    CHECK(book.bytes == list.bytes);
+    CHECK_FALSE(upsert_endpoint(book, make_entry(count), now));
+    // A known entry is replaced, and one that has left makes room.
+    auto leaving = make_entry(0);
+    leaving.leaving = true;
+    CHECK(upsert_endpoint(book, leaving, now));
+    CHECK(usable_endpoints(book, now).size() == list.entries.size() - 1);
+    remove_endpoint(book, leaving.id, now);
+    usable_endpoints(book, now);
+    CHECK(upsert_endpoint(book, make_entry(count), now));
+    CHECK(book.bytes == list.bytes);
+}
+
 TEST_CASE("a non-idempotent request is retried only if it did not run",
           "[repeat]")
 {
