Find a lost response to a watch by asking for what it waits for

Callers saw: after one lost response to a watch, the hosts of a zone sent requests to a draining server for 7.9 s, and the same with old configurations, moves and evacuations.

Cause: the signs of life that renew the age of a host's state proved the path to the store, not that the waiting watches had lost nothing. A watch waits for 8 s.

Change: the sign of life asks for the changes that one of the watches waits for, each kind in turn, at the price of the call before. Changes that it reports are applied at once. A copy of the store that is known to be old proves nothing; then it asks again without old copies.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -9,9 +9,11 @@
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
 #include <spdlog/spdlog.h>              // info
 
-#include <platform/store_calls.hpp> // list_target, move_kind
+#include <platform/store_calls.hpp> // changes_target, decode_events, list_target
 
-#include "../store/store_client.hpp" // store_client
+#include "../store/store_client.hpp"  // store_client
+#include "../store/waiting_watch.hpp" // waiting_watch
+#include "../store/watch_check.hpp"   // judge_watch
 
 namespace rhubarbgrade
 {
@@ -34,6 +36,9 @@
 /// path that is whole again is found within 2.2 s.
 constexpr milliseconds max_ask_pause{1500};
 
+/// HTTP status of a watch whose history is gone.
+constexpr unsigned gone = 410;
+
 /// Consecutive calls that fail until the host says so.
 constexpr int failures_to_tell = 2;
 
@@ -126,6 +131,57 @@
     return pause / 2 + milliseconds(jitter(m_random));
 }
 
+asio::awaitable<bool> store_reader::call_store()
+{
+    const auto watch = m_gate.next_watch();
+    if (watch == nullptr)
+    {
+        auto target = platform::list_target(platform::move_kind, "", true);
+        const auto answer = co_await m_store.call(
+            call_purpose::probe, boost::beast::http::verb::get,
+            std::move(target), {}, probe_timeout);
+        co_return answer.is(200);
+    }
+    auto verdict = watch_verdict::unknown;
+    for (const bool stale_allowed : {true, false})
+    {
+        if (verdict != watch_verdict::unknown)
+            break;
+        const auto waits_for = watch->target;
+        const auto revision = watch->revision;
+        auto target =
+            platform::changes_target(watch->kind, revision, stale_allowed);
+        const auto answer = co_await m_store.call(
+            call_purpose::probe, boost::beast::http::verb::get,
+            std::move(target), {}, probe_timeout);
+        // A watch whose history is gone is told so, too.
+        if (answer.is(gone))
+            co_return true;
+        if (!answer.is(200))
+            co_return false;
+        auto page = platform::decode_events(answer.body);
+        if (!page)
+        {
+            spdlog::warn("{}", page.error().message());
+            co_return true;
+        }
+        // The watch has gone on meanwhile.
+        if (watch->target != waits_for)
+            co_return true;
+        verdict = judge_watch({!page->events.empty() || page->unreadable != 0,
+                               page->revision, m_store.known_revision()});
+        if (verdict != watch_verdict::overtaken)
+            continue;
+        spdlog::info("event=watch_overtaken kind={} revision={} reached={} "
+                     "changes={} stale_allowed={}",
+                     watch->kind, revision, page->revision, page->events.size(),
+                     stale_allowed);
+        watch->overtaken_by = std::move(*page);
+        m_store.abort_watch(waits_for);
+    }
+    co_return true;
+}
+
 asio::awaitable<void> store_reader::probe()
 {
     auto pause = probe_interval;
@@ -136,17 +192,14 @@
         if (!reads() && !m_failing && !m_asks)
             continue;
         const bool watches = reads();
-        auto target = platform::list_target(platform::move_kind, "", true);
-        const auto answer = co_await m_store.call(
-            call_purpose::probe, boost::beast::http::verb::get,
-            std::move(target), {}, probe_timeout);
+        const bool answered = co_await call_store();
         const bool suspect = m_suspect;
         // It says nothing of a later state unless the watches stand.
-        if (answer.is(200) && !suspect && watches)
+        if (answered && !suspect && watches)
             m_answered_at = time_point_t::clock::now();
-        record_outcome(answer.is(200));
+        record_outcome(answered);
         pause = next_probe();
-        if (!answer.is(200))
+        if (!answered)
             continue;
         if (!suspect)
         {
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -21,9 +21,13 @@
 ///        whether the store answers it. Used on the control thread only.
 ///
 /// Watches wait for long, so a path that is broken meanwhile is found by a
-/// cheap call each second: after a failed call, the first one that succeeds
+/// cheap call twice a second: after a failed call, the first one that succeeds
 /// ends the watches that wait, and they start again. A host whose state is old
 /// while others fail makes that call, too, before it watches.
+///
+/// The call asks for the changes that one of the watches waits for, each in
+/// turn. If there are some, the response to the watch was lost, or is on its
+/// way; either way they are applied at once, and the watch goes on behind them.
 class store_reader
 {
 public:
@@ -116,6 +120,9 @@
     boost::asio::awaitable<void> probe();
 
 private:
+    /// Makes a cheap call, and checks a watch by it if one waits.
+    /// @return whether it was answered
+    boost::asio::awaitable<bool> call_store();
     void record_outcome(bool answered);
     milliseconds next_probe();
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,8 +1,9 @@
 #include "store_client.hpp"
 
-#include <memory>  // make_shared
-#include <string>  // string
-#include <utility> // move
+#include <algorithm> // max
+#include <memory>    // make_shared
+#include <string>    // string
+#include <utility>   // move
 
 #include <spdlog/spdlog.h> // warn
 
@@ -37,10 +38,22 @@
 
 void store_client::abort_watches()
 {
-    for (const auto& link : m_watches)
+    for (const auto& [target, link] : m_watches)
         link->close();
 }
 
+void store_client::abort_watch(const std::string& target)
+{
+    const auto found = m_watches.find(target);
+    if (found != m_watches.end())
+        found->second->close();
+}
+
+void store_client::learn_revision(std::uint64_t revision)
+{
+    m_known_revision = std::max(m_known_revision, revision);
+}
+
 void store_client::learn_era(std::uint64_t era)
 {
     if (era <= m_era)
@@ -48,6 +61,7 @@
     if (m_era != 0)
         spdlog::warn("event=store_restored era={} previous_era={}", era, m_era);
     m_era = era;
+    m_known_revision = 0;
 }
 
 boost::asio::awaitable<call_result>
@@ -57,10 +71,10 @@
     ++m_call_counts[static_cast<std::size_t>(purpose)];
     const auto link = acquire_link();
     if (purpose == call_purpose::watch)
-        m_watches.insert(link);
-    auto result =
-        co_await link->call(verb, std::move(target), std::move(body), timeout);
-    m_watches.erase(link);
+        m_watches[target] = link;
+    auto result = co_await link->call(verb, target, std::move(body), timeout);
+    if (purpose == call_purpose::watch)
+        m_watches.erase(target);
     // If one connection has gone dead, the connections that have been idle
     // since before have as well; each would cost another time-out.
     if (result.end != call_outcome::answered)
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -2,8 +2,8 @@
 
 #include <array>   // array
 #include <cstdint> // uint64_t
+#include <map>     // map
 #include <memory>  // shared_ptr
-#include <set>     // set
 #include <string>  // string
 #include <vector>  // vector
 
@@ -45,6 +45,18 @@
     /// @brief Ends all watches that wait for an answer.
     void abort_watches();
 
+    /// @brief Ends the watch that waits for an answer to a call.
+    void abort_watch(const std::string& target);
+
+    /// @brief A response has named a revision of the store.
+    void learn_revision(std::uint64_t revision);
+
+    /// @brief Revision that the store has reached in its present era, at least.
+    std::uint64_t known_revision() const
+    {
+        return m_known_revision;
+    }
+
     /// @brief Another host has been told of an era of the store.
     void learn_era(std::uint64_t era);
 
@@ -66,8 +78,10 @@
     boost::asio::any_io_executor m_executor;
     socket_address m_address;
     std::vector<std::shared_ptr<http_link>> m_idle;
-    std::set<std::shared_ptr<http_link>> m_watches; ///< waiting for an answer
+    /// Waiting for an answer, by the target of the call.
+    std::map<std::string, std::shared_ptr<http_link>> m_watches;
     std::uint64_t m_era = 0;
+    std::uint64_t m_known_revision = 0; ///< in this era
     std::array<std::uint64_t,
                static_cast<std::size_t>(call_purpose::number_of_purposes)>
         m_call_counts{};
--- /dev/null
+++ b/src/store/waiting_watch.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
+
+#include <platform/store_calls.hpp> // event_page
+
+namespace rhubarbgrade
+{
+
+/// @brief A watch of the store as others see it that check it.
+struct waiting_watch
+{
+    std::string kind;
+    std::uint64_t revision = 0; ///< changes after it are awaited
+    std::string target;         ///< of the call that waits; empty: none does
+    /// Changes that a check has received before the watch.
+    std::optional<platform::event_page> overtaken_by;
+};
+
+} // namespace rhubarbgrade
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
 
+#include "waiting_watch.hpp" // waiting_watch
+
 namespace rhubarbgrade
 {
 
@@ -44,6 +46,28 @@
     m_waiting.erase(&timer);
 }
 
+void watch_gate::add(std::weak_ptr<waiting_watch> watch)
+{
+    std::erase_if(m_watches,
+                  [](const auto& each)
+                  {
+                      return each.expired();
+                  });
+    m_watches.push_back(std::move(watch));
+}
+
+std::shared_ptr<waiting_watch> watch_gate::next_watch()
+{
+    for (std::size_t i = 0; i < m_watches.size(); ++i)
+    {
+        m_last_watch = (m_last_watch + 1) % m_watches.size();
+        auto watch = m_watches[m_last_watch].lock();
+        if (watch && !watch->target.empty())
+            return watch;
+    }
+    return nullptr;
+}
+
 asio::awaitable<void> watch_gate::wait_until_open()
 {
     while (!m_open)
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef> // size_t
 #include <cstdint> // uint64_t
+#include <memory>  // shared_ptr, weak_ptr
 #include <set>     // set
+#include <vector>  // vector
 
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 #include <boost/asio/awaitable.hpp>       // awaitable
@@ -12,7 +15,10 @@
 namespace rhubarbgrade
 {
 
-/// @brief Says whether watches of the store go on, and ends their pauses.
+struct waiting_watch;
+
+/// @brief Says whether watches of the store go on, ends their pauses, and knows
+///        those that wait.
 class watch_gate
 {
 public:
@@ -43,8 +49,16 @@
     /// @brief Waits for a time, or until @ref renew or @ref set_open.
     boost::asio::awaitable<void> pause(milliseconds time);
 
+    void add(std::weak_ptr<waiting_watch> watch);
+
+    /// @brief The watch after the one that the last call returned, in turn, of
+    ///        those that wait for a response; null if none does.
+    std::shared_ptr<waiting_watch> next_watch();
+
 private:
     boost::asio::any_io_executor m_executor;
+    std::vector<std::weak_ptr<waiting_watch>> m_watches;
+    std::size_t m_last_watch = 0;
     std::set<boost::asio::steady_timer*> m_waiting;
     std::uint64_t m_renewals = 0;
     bool m_open = false;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -4,17 +4,19 @@
 #include <chrono>    // duration_cast
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
+#include <memory>    // make_shared
 #include <optional>  // optional
 #include <random>    // minstd_rand, uniform_int_distribution
 #include <string>    // string
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <spdlog/spdlog.h> // warn
 
-#include "page_cursor.hpp"  // page_cursor
-#include "store_client.hpp" // store_client
-#include "watch_gate.hpp"   // watch_gate
-#include "watch_margin.hpp" // next_watch_margin
+#include "page_cursor.hpp"   // page_cursor
+#include "store_client.hpp"  // store_client
+#include "waiting_watch.hpp" // waiting_watch
+#include "watch_gate.hpp"    // watch_gate
+#include "watch_margin.hpp"  // next_watch_margin
 
 namespace rhubarbgrade
 {
@@ -26,8 +28,8 @@
 {
 
 /// Time for which the store delays its response to a watch (a long poll) if
-/// nothing changes. Each call is charged for. A connection that has gone dead
-/// meanwhile is found by other calls, which end the watch; see @ref watch_gate.
+/// nothing changes. Each call is charged for. Cheaper calls find out meanwhile
+/// that a connection has gone dead, or a response was lost.
 constexpr milliseconds watch_wait{8000};
 
 /// Time-out for one page of a list, which may have a megabyte.
@@ -112,6 +114,7 @@
         // were made while the later pages were read.
         if (first)
             list.revision = page->revision;
+        store.learn_revision(page->revision);
         for (const auto& each : page->objects)
             listener.listed(each);
         objects += page->objects.size();
@@ -131,50 +134,72 @@
     co_return list;
 }
 
+/// Reports the changes of a page.
+void report_changes(const platform::event_page& page, const std::string& kind,
+                    const watch_listener& listener)
+{
+    if (page.unreadable != 0)
+        spdlog::warn("event=objects_unreadable kind={} count={}", kind,
+                     page.unreadable);
+    for (const auto& event : page.events)
+        listener.changed(event);
+    listener.reached(page.revision);
+}
+
 /// Reports changes from a revision on; returns when the kind has to be listed
 /// again: the history is gone, the store has begun another one, or something
 /// has changed since a list that is not complete.
 asio::awaitable<void> watch_from(store_client& store, watch_gate& gate,
-                                 const std::string& kind,
+                                 waiting_watch& waiting,
                                  const watch_listener& listener,
                                  list_summary list)
 {
-    auto revision = list.revision;
     constexpr unsigned gone = 410;
+    const auto& kind = waiting.kind;
     const auto relist_at = time_point_t::clock::now() + relist_interval;
     bool changed = false;
     const auto era = store.era();
     auto margin = min_watch_margin;
     retry_pauses pauses;
+    waiting.revision = list.revision;
     for (;;)
     {
         co_await gate.wait_until_open();
         if (store.era() != era)
             co_return;
         if (listener.known_up_to)
-            revision = std::max(revision, listener.known_up_to());
+            waiting.revision =
+                std::max(waiting.revision, listener.known_up_to());
         const auto started = time_point_t::clock::now();
         const auto renewals = gate.renewals();
-        auto target = platform::watch_target(kind, revision, watch_wait);
+        waiting.target =
+            platform::watch_target(kind, waiting.revision, watch_wait);
         const auto response =
-            co_await store.call(call_purpose::watch, verb::get,
-                                std::move(target), {}, watch_wait + margin);
-        margin = next_watch_margin(margin, response.end);
-        const bool ended_here = gate.renewals() != renewals &&
-                                response.end != call_outcome::answered;
-        if (ended_here)
-            continue;
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(
-            time_point_t::clock::now() - started);
-        listener.answered(response.is(200) || response.is(gone));
+            co_await store.call(call_purpose::watch, verb::get, waiting.target,
+                                {}, watch_wait + margin);
+        waiting.target.clear();
+        auto page = std::exchange(waiting.overtaken_by, std::nullopt);
+        if (response.is(200))
+            page.reset();
+        if (!page)
+        {
+            const bool ended_here = gate.renewals() != renewals &&
+                                    response.end != call_outcome::answered;
+            if (ended_here)
+                continue;
+            margin = next_watch_margin(margin, response.end);
+            listener.answered(response.is(200) || response.is(gone));
+        }
         if (response.is(gone) || store.era() != era)
             co_return;
-        if (!response.is(200))
+        if (!page && !response.is(200))
         {
+            const auto elapsed = std::chrono::duration_cast<milliseconds>(
+                time_point_t::clock::now() - started);
             spdlog::warn("event=watch_failed kind={} revision={} status={} "
                          "after_ms={} too_large={}",
-                         kind, revision, response.status, elapsed.count(),
-                         response.too_large);
+                         kind, waiting.revision, response.status,
+                         elapsed.count(), response.too_large);
             co_await gate.pause(pauses.next());
             // The same events would be too large again; pages of a list are
             // not.
@@ -183,20 +208,21 @@
             continue;
         }
         pauses.reset();
-        const auto page = platform::decode_events(response.body);
         if (!page)
         {
-            spdlog::warn("{}; listing {} again", page.error().message(), kind);
-            co_await gate.pause(pauses.next());
-            co_return;
+            auto decoded = platform::decode_events(response.body);
+            if (!decoded)
+            {
+                spdlog::warn("{}; listing {} again", decoded.error().message(),
+                             kind);
+                co_await gate.pause(pauses.next());
+                co_return;
+            }
+            page = std::move(*decoded);
         }
-        if (page->unreadable != 0)
-            spdlog::warn("event=objects_unreadable kind={} count={}", kind,
-                         page->unreadable);
-        for (const auto& event : page->events)
-            listener.changed(event);
-        revision = page->revision;
-        listener.reached(revision);
+        waiting.revision = page->revision;
+        store.learn_revision(page->revision);
+        report_changes(*page, kind, listener);
         changed = changed || !page->events.empty() || page->unreadable != 0;
         if (!list.complete && changed &&
             time_point_t::clock::now() >= relist_at)
@@ -212,6 +238,9 @@
                                      std::string kind, watch_listener listener)
 {
     retry_pauses pauses;
+    const auto waiting = std::make_shared<waiting_watch>();
+    waiting->kind = kind;
+    gate.add(waiting);
     for (;;)
     {
         if (!gate.open() && listener.known())
@@ -234,7 +263,7 @@
             listener.list_ended(*list);
         else
             listener.list_reset();
-        co_await watch_from(store, gate, kind, listener, *list);
+        co_await watch_from(store, gate, *waiting, listener, *list);
     }
 }
 
--- a/tests/integration/integration-cut-watches.cpp
+++ b/tests/integration/integration-cut-watches.cpp
@@ -1,4 +1,5 @@
-// Watches of the store that are cut off while it answers all other calls.
+// Watches of the store that are cut off, or lose their response, while it
+// answers all other calls.
 
 #include <string>
 
@@ -31,6 +32,38 @@
     return true;
 }
 
+/// Time after a fault in which a host must be up to date.
+constexpr int contact_ms = 3000;
+
+/// Starts two hosts, of which one reads the store for both, and which use two
+/// endpoints.
+void start_hosts(installation& site)
+{
+    site.start_replica("i-1", "desk");
+    site.start_replica("i-2", "desk");
+    for (const auto* host : {"h1", "h2"})
+        site.start_host(host, "graceS = 8\nevacuateMs = 2000");
+    for (const auto* host : {"h1", "h2"})
+        for (const auto* endpoint : {"i-1", "i-2"})
+            REQUIRE(wait_until(
+                [&]
+                {
+                    return !avoids(site, host, endpoint);
+                },
+                20000));
+}
+
+/// Checks that both hosts send nothing more to i-2 within the contact bound.
+void check_avoided(const installation& site)
+{
+    CHECK(wait_until(
+        [&]
+        {
+            return avoids(site, "h1", "i-2") && avoids(site, "h2", "i-2");
+        },
+        contact_ms));
+}
+
 int failed_watches(const installation& site, const std::string& host)
 {
     const std::string line = "event=watch_failed kind=servers";
@@ -87,3 +120,99 @@
           std::string::npos);
     CHECK_FALSE(avoids(site, "h1", "i-1"));
 }
+
+// Guards against taking the answers to other calls for a sign that a watch has
+// lost nothing: both hosts sent requests to a leaving endpoint for 8 s.
+TEST_CASE("hosts notice that an endpoint leaves whose watch gets no response",
+          "[watches][lost]")
+{
+    installation site;
+    start_hosts(site);
+    const bool removed = GENERATE(false, true);
+    // The second loss in a row must be found as fast as the first one.
+    for (int losses = 0; losses < 2; ++losses)
+    {
+        site.set_store_fault({{"lose_watches", 1}, {"lost_kind", "servers"}});
+        if (removed)
+            site.remove_object("servers", "i-2");
+        else
+            site.list_replica("i-2", "desk", "draining");
+        check_avoided(site);
+        site.list_replica("i-2", "desk", "ready");
+        REQUIRE(wait_until(
+            [&]
+            {
+                return !avoids(site, "h1", "i-2") && !avoids(site, "h2", "i-2");
+            },
+            20000));
+    }
+}
+
+// The same for the other kinds: a dropped route was served for 8 s.
+TEST_CASE("hosts learn of a configuration whose watch gets no response",
+          "[watches][lost]")
+{
+    installation site;
+    start_hosts(site);
+    site.set_store_fault({{"lose_watches", 1}, {"lost_kind", "config"}});
+    site.publish_configuration(2, {{"routes", nlohmann::json::array()}});
+    CHECK(wait_until(
+        [&]
+        {
+            return site.call("h1", "/read/x")->status == 404 &&
+                   site.call("h2", "/read/x")->status == 404;
+        },
+        contact_ms));
+}
+
+TEST_CASE("hosts learn of an evacuation whose watch gets no response",
+          "[watches][lost]")
+{
+    installation site;
+    start_hosts(site);
+    site.set_store_fault({{"lose_watches", 1}, {"lost_kind", "evacuations"}});
+    site.upsert_object("evacuations", "z1", nlohmann::json::object());
+    CHECK(wait_until(
+        [&]
+        {
+            return site.call("h1", "/read/x")->status == 503 &&
+                   site.call("h2", "/read/x")->status == 503;
+        },
+        contact_ms));
+}
+
+TEST_CASE("a host learns of a move whose watch gets no response",
+          "[watches][lost]")
+{
+    installation site;
+    start_hosts(site);
+    site.set_store_fault({{"lose_watches", 1}, {"lost_kind", "rollouts"}});
+    site.upsert_object(
+        "rollouts", "desk",
+        {{"service", "desk"}, {"target", "v2"}, {"durationS", 1}});
+    // The move itself ends a second after a host has learned of it.
+    CHECK(wait_until(
+        [&]
+        {
+            return (site.log_text("h1") + site.log_text("h2"))
+                       .find("event=move_decided service=desk") !=
+                   std::string::npos;
+        },
+        contact_ms + 1000));
+}
+
+// A cheap call may be answered from an old copy, which proves nothing.
+TEST_CASE("a lost response is found although copies of the store are old",
+          "[watches][lost]")
+{
+    installation site;
+    start_hosts(site);
+    site.set_store_fault({{"save", true},
+                          {"stale", true},
+                          {"lose_watches", 1},
+                          {"lost_kind", "servers"}});
+    site.list_replica("i-2", "desk", "draining");
+    // By this the hosts know that the store has gone on.
+    site.publish_configuration(2, nlohmann::json::object());
+    check_avoided(site);
+}
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -2,11 +2,14 @@
 // writes, paged lists, watches, and faults that tests inject.
 //
 //   PUT /fault  (tests) {refuse, silent_ms, lose_answers, late_ms, hide,
-//               hidden_from, compact, save, restore, cut_watches}; "hide" is a
-//               member that the metadata of objects lacks whose names begin
-//               with "hidden_from"; "save" copies all objects,
-//               "restore" goes back to that copy and begins a new era,
-//               "cut_watches" names a kind whose waiting watches are cut off
+//               hidden_from, compact, save, restore, cut_watches, lose_watches,
+//               lost_kind, stale}; "hide" is a member that the metadata of
+//               objects lacks whose names begin with "hidden_from"; "save"
+//               copies all objects, "restore" goes back to that copy and begins
+//               a new era, "cut_watches" names a kind whose waiting watches are
+//               cut off; as many watches of "lost_kind" as "lose_watches" says
+//               get no response when there are changes, and their connections
+//               stay open; "stale" answers calls that allow it from the copy
 //   PUT /addresses  (tests) {ID: ADDRESS}, in place of the addresses that
 //               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
@@ -52,6 +55,9 @@
 {
 
 constexpr std::size_t page_size = 5; // small, so that tests read several pages
+/// Time for which a connection without a response is kept.
+constexpr milliseconds lost_time(60000);
+
 constexpr std::size_t page_bytes = 1'000'000;
 
 struct change
@@ -73,6 +79,9 @@
     int refuse = 0;          ///< status that all calls fail with, 0: none
     int silent_ms = 0;       ///< delay of all calls
     int lose_answers = 0;    ///< number of next writes that get no response
+    int lose_watches = 0;    ///< number of next watches that get no response
+    std::string lost_kind;   ///< of these watches
+    bool stale = false;      ///< calls that allow it are answered from the copy
     int late_ms = 0;         ///< delay until such a write is applied
     std::string hide;        ///< member that metadata lack; empty: none
     std::string hidden_from; ///< beginning of the names of these objects
@@ -82,13 +91,14 @@
 {
 public:
     /// A page of the objects whose names follow `after`.
-    json list(const std::string& kind, const std::string& after)
+    /// @param[in] from_copy  of the last copy
+    json list(const std::string& kind, const std::string& after, bool from_copy)
     {
         const std::lock_guard lock(m_mutex);
         json items = json::array();
         bool has_more = false;
         std::size_t bytes = 0;
-        const auto& objects = m_kinds[kind];
+        const auto& objects = (from_copy ? m_saved.kinds : m_kinds)[kind];
         for (auto it = objects.upper_bound(after); it != objects.end(); ++it)
         {
             const auto size = it->second.dump().size();
@@ -103,7 +113,15 @@
         }
         return {{"items", items},
                 {"hasMore", has_more},
-                {"storeRevision", m_revision}};
+                {"storeRevision", from_copy ? m_saved.revision : m_revision}};
+    }
+
+    /// Changes after a revision that the last copy has.
+    json copied_changes(const std::string& kind, std::uint64_t since)
+    {
+        const std::lock_guard lock(m_mutex);
+        return {{"events", changes(m_saved.history, kind, since)},
+                {"storeRevision", m_saved.revision}};
     }
 
     /// Waits for changes after a revision and returns them, or std::nullopt if
@@ -118,11 +136,7 @@
         json events = json::array();
         const auto collect = [&]
         {
-            events = json::array();
-            for (const auto& entry : m_history)
-                if (entry.kind == kind && entry.revision > since)
-                    events.push_back({{"object", entry.object},
-                                      {"tombstone", entry.removed}});
+            events = changes(m_history, kind, since);
             return !events.empty() || since < m_compacted_revision ||
                    since > m_revision || era != m_era || cuts != m_cuts[kind];
         };
@@ -242,6 +256,17 @@
     }
 
 private:
+    static json changes(const std::deque<change>& history,
+                        const std::string& kind, std::uint64_t since)
+    {
+        json events = json::array();
+        for (const auto& entry : history)
+            if (entry.kind == kind && entry.revision > since)
+                events.push_back(
+                    {{"object", entry.object}, {"tombstone", entry.removed}});
+        return events;
+    }
+
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::uint64_t m_revision = 100;
@@ -450,6 +475,9 @@
         m_faults = {requested.value("refuse", 0),
                     requested.value("silent_ms", 0),
                     requested.value("lose_answers", 0),
+                    requested.value("lose_watches", 0),
+                    requested.value("lost_kind", ""),
+                    requested.value("stale", false),
                     requested.value("late_ms", 0),
                     requested.value("hide", ""),
                     requested.value("hidden_from", "")};
@@ -458,18 +486,27 @@
     void list(const httplib::Request& request, httplib::Response& response)
     {
         const auto kind = request.matches[1].str();
+        const bool from_copy = is_stale() && request.has_param("serializable");
         if (!request.has_param("watch"))
         {
-            auto page = m_store.list(kind, request.get_param_value("after"));
+            auto page =
+                m_store.list(kind, request.get_param_value("after"), from_copy);
             for (auto& each : page["items"])
                 apply_view(each);
             send_json(response, 200, page);
             return;
         }
+        const auto since = std::stoull(request.get_param_value("watch"));
+        const milliseconds wait(std::stoi(request.get_param_value("waitMs")));
+        if (from_copy)
+            return send_json(response, 200,
+                             m_store.copied_changes(kind, since));
         bool cut = false;
-        auto found = m_store.watch(
-            kind, std::stoull(request.get_param_value("watch")),
-            milliseconds(std::stoi(request.get_param_value("waitMs"))), cut);
+        auto found = m_store.watch(kind, since, wait, cut);
+        constexpr milliseconds waiting(1000);
+        if (wait >= waiting && found && !(*found)["events"].empty() &&
+            consume_lost_watch(kind))
+            standin::delay(lost_time);
         if (cut)
             return break_off(response);
         if (!found)
@@ -512,6 +549,20 @@
         send_json(response, status, object.value_or(json()));
     }
 
+    bool is_stale()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_faults.stale;
+    }
+
+    // Whether to lose the response to a watch; counts it off if so.
+    bool consume_lost_watch(const std::string& kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_faults.lost_kind == kind && m_faults.lose_watches > 0 &&
+               m_faults.lose_watches-- > 0;
+    }
+
     // Whether to lose the response of this write; counts it off if so.
     bool consume_lost_answer(int& late_ms)
     {
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -16,6 +16,7 @@
 
 #include "../../src/peers/peer_state.hpp"   // decode_datagram
 #include "../../src/store/page_cursor.hpp"  // page_cursor
+#include "../../src/store/watch_check.hpp"  // judge_watch
 #include "../../src/store/watch_margin.hpp" // next_watch_margin
 
 using namespace rhubarbgrade;
@@ -280,6 +281,17 @@
     CHECK(margin == min_watch_margin);
 }
 
+TEST_CASE("a watch counts as sound only by a copy that is not known to be old",
+          "[adapter]")
+{
+    CHECK(judge_watch({false, 100, 100}) == watch_verdict::stands);
+    CHECK(judge_watch({false, 120, 100}) == watch_verdict::stands);
+    CHECK(judge_watch({false, 99, 100}) == watch_verdict::unknown);
+    // Changes have happened, however old the copy is.
+    CHECK(judge_watch({true, 99, 100}) == watch_verdict::overtaken);
+    CHECK(judge_watch({true, 120, 100}) == watch_verdict::overtaken);
+}
+
 TEST_CASE("changes of the escrow account round-trip through their datagrams",
           "[adapter]")
 {
