Give a list the position of its oldest page

Callers saw: after a restart of the host that reads for its zone, all hosts of the zone sent requests to a draining server for good.

Cause: a list got the revision of its first page. A host's first list allows old data, so a later page can be older, and a watch from the first page's revision doesn't report what that page lacks. Peers took the list over.

Change: the position of a list is the lowest revision of its pages.

--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -110,18 +110,16 @@
             era = store.era();
         if (store.era() != era)
             co_return std::nullopt;
-        // A watch from the first page's revision also reports the changes that
-        // were made while the later pages were read.
-        if (first)
-            list.revision = page->revision;
         store.learn_revision(page->revision);
         for (const auto& each : page->objects)
             listener.listed(each);
         objects += page->objects.size();
+        const bool advanced = cursor.advance(*page);
+        list.revision = cursor.revision();
         list.complete = !page->more;
         if (list.complete)
             break;
-        if (!cursor.advance(*page))
+        if (!advanced)
         {
             spdlog::warn("event=list_incomplete kind={} objects={}", kind,
                          objects);
--- a/tests/integration/integration-cut-watches.cpp
+++ b/tests/integration/integration-cut-watches.cpp
@@ -208,7 +208,7 @@
     installation site;
     start_hosts(site);
     site.set_store_fault({{"save", true},
-                          {"stale", true},
+                          {"stale", "all"},
                           {"lose_watches", 1},
                           {"lost_kind", "servers"}});
     site.list_replica("i-2", "desk", "draining");
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -9,7 +9,9 @@
 //               a new era, "cut_watches" names a kind whose waiting watches are
 //               cut off; as many watches of "lost_kind" as "lose_watches" says
 //               get no response when there are changes, and their connections
-//               stay open; "stale" answers calls that allow it from the copy
+//               stay open; "stale" answers calls that allow it from the copy:
+//               "all", or the "later" pages of a list; "refuse_present" is the
+//               status of all calls that don't allow it
 //   PUT /addresses  (tests) {ID: ADDRESS}, in place of the addresses that
 //               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
@@ -81,7 +83,8 @@
     int lose_answers = 0;    ///< number of next writes that get no response
     int lose_watches = 0;    ///< number of next watches that get no response
     std::string lost_kind;   ///< of these watches
-    bool stale = false;      ///< calls that allow it are answered from the copy
+    std::string stale;       ///< calls that are answered from the copy
+    int refuse_present = 0;  ///< status of calls that don't allow old data
     int late_ms = 0;         ///< delay until such a write is applied
     std::string hide;        ///< member that metadata lack; empty: none
     std::string hidden_from; ///< beginning of the names of these objects
@@ -455,9 +458,13 @@
             response.status = 400;
             return handled;
         }
-        if (active_faults.refuse == 0)
+        const int status = active_faults.refuse_present != 0 &&
+                                   !request.has_param("serializable")
+                               ? active_faults.refuse_present
+                               : active_faults.refuse;
+        if (status == 0)
             return unhandled;
-        response.status = active_faults.refuse;
+        response.status = status;
         return handled;
     }
 
@@ -477,7 +484,8 @@
                     requested.value("lose_answers", 0),
                     requested.value("lose_watches", 0),
                     requested.value("lost_kind", ""),
-                    requested.value("stale", false),
+                    requested.value("stale", ""),
+                    requested.value("refuse_present", 0),
                     requested.value("late_ms", 0),
                     requested.value("hide", ""),
                     requested.value("hidden_from", "")};
@@ -486,7 +494,8 @@
     void list(const httplib::Request& request, httplib::Response& response)
     {
         const auto kind = request.matches[1].str();
-        const bool from_copy = is_stale() && request.has_param("serializable");
+        const bool from_copy = is_stale(request.has_param("after")) &&
+                               request.has_param("serializable");
         if (!request.has_param("watch"))
         {
             auto page =
@@ -549,10 +558,11 @@
         send_json(response, status, object.value_or(json()));
     }
 
-    bool is_stale()
+    bool is_stale(bool later_page)
     {
         const std::lock_guard lock(m_mutex);
-        return m_faults.stale;
+        return m_faults.stale == "all" ||
+               (m_faults.stale == "later" && later_page);
     }
 
     // Whether to lose the response to a watch; counts it off if so.
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -612,6 +612,19 @@
     }
 }
 
+TEST_CASE("a list is as old as the oldest of its pages", "[adapter]")
+{
+    page_cursor cursor;
+    platform::object_page page;
+    for (const std::uint64_t revision : {100, 90, 120})
+    {
+        page.revision = revision;
+        page.last_name += "a";
+        cursor.advance(page);
+        CHECK(cursor.revision() == (revision == 100 ? 100 : 90));
+    }
+}
+
 TEST_CASE("the position behind a long name fits into a target", "[adapter]")
 {
     const std::string longest(512, 'b');
