Tell no age of a state that only an old list has confirmed

Cause: a first list, which may be seconds old, counted as of the host's start, and a sign of life renewed that age although the watches had not had any response. Peers put off their own reading for it.

Change: a state has no age before a response that allows no old data, or a peer that knows one, has confirmed it. A reader counts its state as current once each of its watches is proven by its own response or a check that allows no old data, and proves them anew after a failure.

--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -165,8 +165,7 @@
       m_brittle(settings.host),
       m_ignored_log(max_ignored_lines),
       m_started(time_point_t::clock::now()),
-      m_started_at_ms(unix_time_ms()),
-      m_confirmed_at(m_started)
+      m_started_at_ms(unix_time_ms())
 {
 }
 
@@ -628,18 +627,34 @@
     m_reader.record_answer(answered, time_point_t::clock::now());
 }
 
-time_point_t node_control::confirmed_at() const
+std::optional<time_point_t> node_control::confirmed_at() const
 {
-    return m_reader.reads() && m_endpoints_known
-               ? std::max(m_confirmed_at, m_reader.answered_at())
-               : m_confirmed_at;
+    const auto at = m_reader.reads() && m_endpoints_known
+                        ? std::max(m_confirmed_at, m_reader.answered_at())
+                        : m_confirmed_at;
+    return at == time_point_t{} ? std::nullopt : std::optional(at);
+}
+
+std::optional<milliseconds> node_control::state_age(time_point_t now) const
+{
+    const auto at = confirmed_at();
+    if (!at)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(
+        std::max(now - *at, time_point_t::duration::zero()));
+}
+
+time_point_t node_control::waits_since() const
+{
+    return std::max(m_confirmed_at, m_started);
 }
 
 bool node_control::store_is_current(time_point_t now) const
 {
     const bool answers =
         m_reader.reads() ? m_reader.watches_stand() : m_endpoints.reachable;
-    return answers && now - confirmed_at() < max_answer_age;
+    const auto age = state_age(now);
+    return answers && age && *age < max_answer_age;
 }
 
 bool node_control::reads_store(time_point_t now) const
@@ -816,7 +831,7 @@
         return;
     const bool read = m_reader.reads();
     m_reader.decide(zone, m_configuration != nullptr && m_endpoints_known,
-                    read ? m_told_at : m_confirmed_at, now);
+                    read ? m_told_at : waits_since(), now);
     // What this host has read itself stays valid.
     if (read && !m_reader.reads())
         m_confirmed_at = std::max(m_confirmed_at, m_reader.answered_at());
@@ -953,8 +968,7 @@
     heartbeat.brittle = m_brittle.shared(now);
     heartbeat.relay_port = m_relay_port;
     if (m_endpoints_known)
-        heartbeat.state_age = std::chrono::duration_cast<milliseconds>(
-            std::max(now - confirmed_at(), time_point_t::duration::zero()));
+        heartbeat.state_age = state_age(now);
     heartbeat.store_failing = m_reader.failing();
     heartbeat.store_answers = m_reader.answered();
     heartbeat.store_era = m_store.era();
@@ -1236,7 +1250,7 @@
     for (;;)
     {
         const auto now = time_point_t::clock::now();
-        const auto due = m_confirmed_at + m_reader.max_age();
+        const auto due = waits_since() + m_reader.max_age();
         // Once it is too old, the tick goes on to decide.
         timer.expires_at(due > now ? std::max(due, now + age_check_period)
                                    : now + tick_period);
@@ -1263,19 +1277,17 @@
                 spdlog::warn("event=objects_ignored unlogged={}", count);
             m_escrow.log_calls();
             m_members.log_counts();
-            spdlog::info(
-                "event=store_calls list={} watch={} budget={} move={} "
-                "probe={} reads={} failing={} state_age_ms={} "
-                "position={}",
-                m_store.calls(call_purpose::list),
-                m_store.calls(call_purpose::watch),
-                m_store.calls(call_purpose::budget),
-                m_store.calls(call_purpose::move),
-                m_store.calls(call_purpose::probe), m_reader.reads(),
-                m_reader.failing(),
-                std::chrono::duration_cast<milliseconds>(now - confirmed_at())
-                    .count(),
-                m_position.revision);
+            spdlog::info("event=store_calls list={} watch={} budget={} move={} "
+                         "probe={} reads={} failing={} state_age_ms={} "
+                         "position={}",
+                         m_store.calls(call_purpose::list),
+                         m_store.calls(call_purpose::watch),
+                         m_store.calls(call_purpose::budget),
+                         m_store.calls(call_purpose::move),
+                         m_store.calls(call_purpose::probe), m_reader.reads(),
+                         m_reader.failing(),
+                         age_ms(confirmed_at().value_or(time_point_t{}), now),
+                         m_position.revision);
         }
         m_members.tick();
         record_live_hosts(now);
--- a/src/node/node_control.hpp
+++ b/src/node/node_control.hpp
@@ -6,6 +6,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
+#include <optional>   // optional
 #include <set>        // set
 #include <string>     // string
 #include <utility>    // pair
@@ -131,8 +132,14 @@
     /// told them for a while.
     bool may_serve(time_point_t now) const;
     void record_store_answer(bool answered);
-    /// When this host's state was the store's, at least.
-    time_point_t confirmed_at() const;
+    /// When this host's state was the store's, at least; empty if that isn't
+    /// known: a first list may be of any age.
+    std::optional<time_point_t> confirmed_at() const;
+    /// Age of this host's state, at most; empty if it isn't known.
+    std::optional<milliseconds> state_age(time_point_t now) const;
+    /// From when on this host waits for others to confirm its state before it
+    /// reads the store by itself: not before its start.
+    time_point_t waits_since() const;
     bool store_is_current(time_point_t now) const;
     /// Whether this host reads the store itself and gets answers.
     bool reads_store(time_point_t now) const;
@@ -217,7 +224,7 @@
     std::size_t m_host_count = assumed_host_count;
     const time_point_t m_started;
     const std::uint64_t m_started_at_ms; ///< the same in Unix time
-    time_point_t m_confirmed_at;         ///< by a peer; see confirmed_at
+    time_point_t m_confirmed_at{};       ///< by a peer; see confirmed_at
     time_point_t m_told_at{};  ///< state of the zone's reader, in its news
     store_position m_position; ///< of the endpoints
     /// Two earlier ones, some seconds apart, and when they were reached.
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -19,6 +19,7 @@
 {
 
 namespace asio = boost::asio;
+using boost::beast::http::verb;
 
 namespace
 {
@@ -36,9 +37,6 @@
 /// path that is whole again is found within 2.2 s.
 constexpr milliseconds max_ask_pause{1500};
 
-/// HTTP status of a watch whose history is gone.
-constexpr unsigned gone = 410;
-
 /// Consecutive calls that fail until the host says so.
 constexpr int failures_to_tell = 2;
 
@@ -59,7 +57,7 @@
 
 void store_reader::record_answer(bool answered, time_point_t now)
 {
-    if (answered)
+    if (answered && m_gate.proven())
         m_answered_at = now;
     record_outcome(answered);
 }
@@ -133,52 +131,59 @@
 
 asio::awaitable<bool> store_reader::call_store()
 {
-    const auto watch = m_gate.next_watch();
-    if (watch == nullptr)
-    {
-        auto target = platform::list_target(platform::move_kind, "", true);
-        const auto answer = co_await m_store.call(
-            call_purpose::probe, boost::beast::http::verb::get,
-            std::move(target), {}, probe_timeout);
-        co_return answer.is(200);
-    }
-    auto verdict = watch_verdict::unknown;
-    for (const bool stale_allowed : {true, false})
-    {
-        if (verdict != watch_verdict::unknown)
-            break;
-        const auto waits_for = watch->target;
-        const auto revision = watch->revision;
-        auto target =
-            platform::changes_target(watch->kind, revision, stale_allowed);
-        const auto answer = co_await m_store.call(
-            call_purpose::probe, boost::beast::http::verb::get,
-            std::move(target), {}, probe_timeout);
-        // A watch whose history is gone is told so, too.
-        if (answer.is(gone))
-            co_return true;
-        if (!answer.is(200))
+    const auto unproven = m_gate.unproven_watches();
+    for (const auto& each : unproven)
+        if (!co_await check_watch(each, false))
             co_return false;
-        auto page = platform::decode_events(answer.body);
-        if (!page)
-        {
-            spdlog::warn("{}", page.error().message());
-            co_return true;
-        }
-        // The watch has gone on meanwhile.
-        if (watch->target != waits_for)
-            co_return true;
-        verdict = judge_watch({!page->events.empty() || page->unreadable != 0,
-                               page->revision, m_store.known_revision()});
-        if (verdict != watch_verdict::overtaken)
-            continue;
-        spdlog::info("event=watch_overtaken kind={} revision={} reached={} "
-                     "changes={} stale_allowed={}",
-                     watch->kind, revision, page->revision, page->events.size(),
-                     stale_allowed);
-        watch->overtaken_by = std::move(*page);
-        m_store.abort_watch(waits_for);
+    if (!unproven.empty())
+        co_return true;
+    if (const auto watch = m_gate.next_watch())
+        co_return co_await check_watch(watch, true);
+    auto target = platform::list_target(platform::move_kind, "", true);
+    const auto answer = co_await m_store.call(
+        call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
+    co_return answer.is(200);
+}
+
+asio::awaitable<bool>
+store_reader::check_watch(const std::shared_ptr<waiting_watch>& watch,
+                          bool stale_allowed)
+{
+    constexpr unsigned gone = 410;
+    const auto waits_for = watch->target;
+    const auto revision = watch->revision;
+    auto target =
+        platform::changes_target(watch->kind, revision, stale_allowed);
+    const auto answer = co_await m_store.call(
+        call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
+    // A watch whose history is gone is told so, too.
+    if (answer.is(gone))
+        co_return true;
+    if (!answer.is(200))
+        co_return false;
+    auto page = platform::decode_events(answer.body);
+    if (!page)
+    {
+        spdlog::warn("{}", page.error().message());
+        co_return true;
     }
+    // It has been answered meanwhile.
+    if (watch->target != waits_for)
+        co_return true;
+    const auto verdict =
+        judge_watch({!page->events.empty() || page->unreadable != 0,
+                     page->revision, m_store.known_revision()});
+    if (verdict == watch_verdict::unknown && stale_allowed)
+        co_return co_await check_watch(watch, false);
+    watch->proven = watch->proven || !stale_allowed;
+    if (verdict != watch_verdict::overtaken)
+        co_return true;
+    spdlog::info("event=watch_overtaken kind={} revision={} reached={} "
+                 "changes={} stale_allowed={}",
+                 watch->kind, revision, page->revision, page->events.size(),
+                 stale_allowed);
+    watch->overtaken_by = std::move(*page);
+    m_store.abort_watch(waits_for);
     co_return true;
 }
 
@@ -195,7 +200,7 @@
         const bool answered = co_await call_store();
         const bool suspect = m_suspect;
         // It says nothing of a later state unless the watches stand.
-        if (answered && !suspect && watches)
+        if (answered && !suspect && watches && m_gate.proven())
             m_answered_at = time_point_t::clock::now();
         record_outcome(answered);
         pause = next_probe();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional> // function
+#include <memory>     // shared_ptr
 #include <random>     // minstd_rand
 #include <span>       // span
 #include <string>     // string
@@ -16,6 +17,7 @@
 {
 
 class store_client;
+struct waiting_watch;
 
 /// @brief Decides whether this host reads the store for others, and finds out
 ///        whether the store answers it. Used on the control thread only.
@@ -97,8 +99,9 @@
         return !m_suspect;
     }
 
-    /// @brief Last answer of the store to a call that asks for the present
-    ///        state, or that shows that a waiting watch still stands.
+    /// @brief Last answer of the store at which no watch could have missed a
+    ///        change, as far as is known: all are proven, and no call has
+    ///        failed since.
     time_point_t answered_at() const
     {
         return m_answered_at;
@@ -120,9 +123,15 @@
     boost::asio::awaitable<void> probe();
 
 private:
-    /// Makes a cheap call, and checks a watch by it if one waits.
-    /// @return whether it was answered
+    /// Makes a cheap call, and checks a watch by it if one waits; instead,
+    /// checks all watches that aren't proven.
+    /// @return whether the store answered
     boost::asio::awaitable<bool> call_store();
+    /// Asks for the changes that a watch waits for, and hands them over.
+    /// @return whether the store answered
+    boost::asio::awaitable<bool>
+    check_watch(const std::shared_ptr<waiting_watch>& watch,
+                bool stale_allowed);
     void record_outcome(bool answered);
     milliseconds next_probe();
 
--- a/src/store/waiting_watch.hpp
+++ b/src/store/waiting_watch.hpp
@@ -15,6 +15,9 @@
     std::string kind;
     std::uint64_t revision = 0; ///< changes after it are awaited
     std::string target;         ///< of the call that waits; empty: none does
+    /// Whether a response that allows no old data has shown, since the watch
+    /// last failed, that it has missed nothing.
+    bool proven = false;
     /// Changes that a check has received before the watch.
     std::optional<platform::event_page> overtaken_by;
 };
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -1,7 +1,8 @@
 #include "watch_gate.hpp"
 
-#include <chrono>  // hours
-#include <utility> // move
+#include <algorithm> // all_of
+#include <chrono>    // hours
+#include <utility>   // move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
@@ -68,6 +69,26 @@
     return nullptr;
 }
 
+std::vector<std::shared_ptr<waiting_watch>> watch_gate::unproven_watches() const
+{
+    std::vector<std::shared_ptr<waiting_watch>> found;
+    for (const auto& each : m_watches)
+        if (auto watch = each.lock();
+            watch && !watch->proven && !watch->target.empty())
+            found.push_back(std::move(watch));
+    return found;
+}
+
+bool watch_gate::proven() const
+{
+    return std::all_of(m_watches.begin(), m_watches.end(),
+                       [](const auto& each)
+                       {
+                           const auto watch = each.lock();
+                           return watch && watch->proven;
+                       });
+}
+
 asio::awaitable<void> watch_gate::wait_until_open()
 {
     while (!m_open)
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -55,6 +55,12 @@
     ///        those that wait for a response; null if none does.
     std::shared_ptr<waiting_watch> next_watch();
 
+    /// @brief The watches that wait for a response and aren't proven.
+    std::vector<std::shared_ptr<waiting_watch>> unproven_watches() const;
+
+    /// @brief Whether all watches are proven, see @ref waiting_watch.
+    bool proven() const;
+
 private:
     boost::asio::any_io_executor m_executor;
     std::vector<std::weak_ptr<waiting_watch>> m_watches;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -162,6 +162,8 @@
     waiting.revision = list.revision;
     for (;;)
     {
+        // What others have told meanwhile proves nothing of this watch.
+        waiting.proven = waiting.proven && gate.open();
         co_await gate.wait_until_open();
         if (store.era() != era)
             co_return;
@@ -181,6 +183,7 @@
             page.reset();
         if (!page)
         {
+            waiting.proven = response.is(200);
             const bool ended_here = gate.renewals() != renewals &&
                                     response.end != call_outcome::answered;
             if (ended_here)
@@ -244,10 +247,12 @@
         if (!gate.open() && listener.known())
             co_await gate.wait_until_open();
         const bool stale_allowed = !gate.open();
+        waiting->proven = false;
         listener.list_reset();
         const auto list =
             co_await read_list(store, kind, stale_allowed, listener);
         // Without the gate, an answer tells nothing of a later state.
+        waiting->proven = !stale_allowed && list;
         if (!stale_allowed)
             listener.answered(list.has_value());
         if (!list)
--- a/tests/integration/integration-stale-lists.cpp
+++ b/tests/integration/integration-stale-lists.cpp
@@ -94,3 +94,39 @@
                 contact_ms));
     }
 }
+
+// Guards against counting a first list, which may be old, as of the host's
+// start: its peers put off their own reading for it.
+TEST_CASE("a host that has read nothing but an old list knows no age of it",
+          "[stale-lists][age]")
+{
+    installation site;
+    site.start_replica("i-0", "desk");
+    site.set_store_fault({{"refuse_present", 503}});
+    site.spawn_host("h1");
+    CHECK(wait_until(
+        [&]
+        {
+            return serving_endpoint(site, "h1") == "i-0";
+        },
+        serve_ms));
+    CHECK(wait_until(
+        [&]
+        {
+            return site.log_text("h1").find("state_age_ms=-1 ") !=
+                   std::string::npos;
+        },
+        serve_ms));
+    site.set_store_fault(json::object());
+    CHECK(wait_until(
+        [&]
+        {
+            const auto log = site.log_text("h1");
+            return log.find("state_age_ms=", log.rfind("event=store_calls")) !=
+                       std::string::npos &&
+                   log.find("state_age_ms=-1 ",
+                            log.rfind("event=store_calls")) ==
+                       std::string::npos;
+        },
+        serve_ms));
+}
