Keep the names by which entries of a service are counted

Callers saw: once a server of a service with a name of more than 15 characters had left, requests went to draining servers for good.

Cause: the counts of a service's entries had a key that referred to the name in its first entry, and were used after that entry had been erased. The look-up threw, and the task that follows the list ended.

Change: the keys are copies.

--- a/src/fleet/endpoint_book.cpp
+++ b/src/fleet/endpoint_book.cpp
@@ -38,10 +38,11 @@
     std::size_t known = 0;
 };
 
-std::map<std::string_view, service_count>
+/// The names are copies: entries are erased while the counts are used.
+std::map<std::string, service_count>
 counts_by_service(const endpoint_registry& book)
 {
-    std::map<std::string_view, service_count> counts;
+    std::map<std::string, service_count> counts;
     for (const auto& [id, known] : book.endpoints)
     {
         auto& service_counts = counts[known.entry.service];
--- a/tests/unit/unit-fleet.cpp
+++ b/tests/unit/unit-fleet.cpp
@@ -245,6 +245,27 @@
           std::vector<endpoint_entry>{old_one});
 }
 
+// Guards against names that refer to an erased entry: hosts followed no change
+// of the list any more once an endpoint of a service with a long name had left.
+TEST_CASE("an endpoint leaves whatever the length of its service's name",
+          "[fleet]")
+{
+    const auto length = GENERATE(1U, 12U, 15U, 16U, 24U, 60U, 256U);
+    INFO(length);
+    endpoint_registry book;
+    for (const auto* id : {"i-1", "i-2", "i-3"})
+    {
+        auto entry = entry_of(id);
+        entry.service = std::string(length, 's');
+        upsert_endpoint(book, entry, start);
+    }
+    remove_endpoint(book, "i-1", start);
+    const auto usable = usable_endpoints(book, start);
+    REQUIRE(usable.size() == 2);
+    CHECK(usable[0].id == "i-2");
+    CHECK(usable[1].id == "i-3");
+}
+
 TEST_CASE("the entries of a host list stay within their memory", "[fleet]")
 {
     const auto now = time_point_t() + milliseconds(100000);
