Start tasks again that have to run as long as the process

Callers saw: after an exception in the task that follows the list of servers, a host sent requests to draining servers for good, ready and with a state that counted as current.

Cause: spawn only logged the exception, for tasks that end with a connection and for those that must never end alike.

Change: spawn_service starts a task again after an exception, with pauses. It is used for watches, checks, account, witness, tick, peers, acceptors and reports. A watch that has ended leaves the state unproven.

--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -125,14 +125,38 @@
 {
     listen(m_caller_acceptor, m_settings.callers);
     listen(m_readiness_acceptor, m_settings.readiness);
-    spawn(m_loop, accept_callers(), "accept callers");
-    spawn(m_loop, accept_readiness_checks(), "accept readiness checks");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return accept_callers();
+        },
+        "accept callers");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return accept_readiness_checks();
+        },
+        "accept readiness checks");
     if (m_settings.relay)
     {
         listen(m_relay_acceptor, *m_settings.relay);
-        spawn(m_loop, accept_relayed(), "accept connections of peers");
+        spawn_service(
+            m_loop,
+            [this]
+            {
+                return accept_relayed();
+            },
+            "accept connections of peers");
     }
-    spawn(m_loop, report_periodically(), "report to control");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return report_periodically();
+        },
+        "report to control");
 }
 
 void traffic_loop::set_view(fleet_view_ptr_t view)
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -1,9 +1,10 @@
 #include "node_control.hpp"
 
-#include <algorithm> // any_of, includes, max
-#include <chrono>    // duration_cast
-#include <memory>    // make_shared
-#include <utility>   // exchange, move
+#include <algorithm>  // any_of, includes, max
+#include <chrono>     // duration_cast
+#include <functional> // function
+#include <memory>     // make_shared
+#include <utility>    // exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/co_spawn.hpp>      // co_spawn
@@ -16,7 +17,7 @@
 #include <rhubarbgrade/detail/base/hash.hpp>               // hash64
 #include <rhubarbgrade/detail/fleet/configuration_lag.hpp> // configuration_overdue
 
-#include "../store/spawn.hpp" // spawn
+#include "../store/spawn.hpp" // spawn_service
 
 namespace rhubarbgrade
 {
@@ -304,33 +305,76 @@
 
 void node_control::start()
 {
-    spawn(m_loop,
-          list_and_watch(m_store, m_reader.gate(),
-                         std::string(platform::configuration_kind),
-                         make_configuration_listener()),
-          "watch of the configuration");
-    spawn(m_loop,
-          list_and_watch(m_store, m_reader.gate(),
-                         std::string(platform::endpoint_kind),
-                         make_endpoint_listener()),
-          "watch of the endpoint list");
-    spawn(m_loop,
-          list_and_watch(m_store, m_reader.gate(),
-                         std::string(platform::move_kind),
-                         make_move_listener()),
-          "watch of the moves");
+    const auto start_watch =
+        [this](std::string_view kind, const char* task_name,
+               std::function<watch_listener()> make_listener)
+    {
+        spawn_service(
+            m_loop,
+            [this, kind, make_listener = std::move(make_listener)]
+            {
+                return list_and_watch(m_store, m_reader.gate(),
+                                      std::string(kind), make_listener());
+            },
+            task_name);
+    };
+    start_watch(platform::configuration_kind, "watch of the configuration",
+                [this]
+                {
+                    return make_configuration_listener();
+                });
+    start_watch(platform::endpoint_kind, "watch of the endpoint list",
+                [this]
+                {
+                    return make_endpoint_listener();
+                });
+    start_watch(platform::move_kind, "watch of the moves",
+                [this]
+                {
+                    return make_move_listener();
+                });
     if (uses_evacuations())
-        spawn(m_loop,
-              list_and_watch(m_store, m_reader.gate(),
-                             std::string(platform::evacuation_kind),
-                             make_evacuation_listener()),
-              "watch of the evacuations");
-    spawn(m_loop, m_reader.probe(), "signs of life of the store");
-    spawn(m_loop, m_escrow.run(), "escrow writer");
-    spawn(m_loop, m_witnesses.run(), "witness confirmations");
+        start_watch(platform::evacuation_kind, "watch of the evacuations",
+                    [this]
+                    {
+                        return make_evacuation_listener();
+                    });
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return m_reader.probe();
+        },
+        "signs of life of the store");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return m_escrow.run();
+        },
+        "escrow writer");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return m_witnesses.run();
+        },
+        "witness confirmations");
     m_peers.start();
-    spawn(m_loop, tick(), "control tick");
-    spawn(m_loop, watch_state_age(), "age of the state");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return tick();
+        },
+        "control tick");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return watch_state_age();
+        },
+        "age of the state");
 }
 
 watch_listener node_control::make_configuration_listener()
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -88,9 +88,27 @@
 
 void peer_exchange::start()
 {
-    spawn(m_loop, send_heartbeats(), "heartbeats to peers");
-    spawn(m_loop, receive_datagrams(), "datagrams from peers");
-    spawn(m_loop, accept_state_requests(), "state requests of peers");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return send_heartbeats();
+        },
+        "heartbeats to peers");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return receive_datagrams();
+        },
+        "datagrams from peers");
+    spawn_service(
+        m_loop,
+        [this]
+        {
+            return accept_state_requests();
+        },
+        "state requests of peers");
 }
 
 asio::awaitable<void> peer_exchange::send_heartbeats()
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -1,6 +1,6 @@
 #include "watch_gate.hpp"
 
-#include <algorithm> // all_of
+#include <algorithm> // all_of, find_if
 #include <chrono>    // hours
 #include <utility>   // move
 
@@ -49,12 +49,16 @@
 
 void watch_gate::add(std::weak_ptr<waiting_watch> watch)
 {
-    std::erase_if(m_watches,
-                  [](const auto& each)
-                  {
-                      return each.expired();
-                  });
-    m_watches.push_back(std::move(watch));
+    // One that has ended keeps its place until it is started again.
+    const auto ended = std::find_if(m_watches.begin(), m_watches.end(),
+                                    [](const auto& each)
+                                    {
+                                        return each.expired();
+                                    });
+    if (ended == m_watches.end())
+        m_watches.push_back(std::move(watch));
+    else
+        *ended = std::move(watch);
 }
 
 std::shared_ptr<waiting_watch> watch_gate::next_watch()
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -49,6 +49,7 @@
     /// @brief Waits for a time, or until @ref renew or @ref set_open.
     boost::asio::awaitable<void> pause(milliseconds time);
 
+    /// @brief Adds a watch, in the place of one that has ended if there is any.
     void add(std::weak_ptr<waiting_watch> watch);
 
     /// @brief The watch after the one that the last call returned, in turn, of
