Escape the messages of the host daemon's log as JSON

Operators saw: a line whose message holds a quote could not be read as JSON.

Cause: the pattern wrote messages as they are.

Change: a formatter escapes them, and the host's name.

--- a/src/daemon/rhubarbgrade_node.cpp
+++ b/src/daemon/rhubarbgrade_node.cpp
@@ -22,7 +22,8 @@
 
 #include <platform/boot_settings.hpp> // decode_settings, settings_path
 
-#include "../node/node.hpp" // node
+#include "../node/json_log.hpp" // make_json_formatter
+#include "../node/node.hpp"     // node
 
 namespace
 {
@@ -202,10 +203,7 @@
     // The control thread logs one line for each decision; without the flush a
     // line would wait in the buffer until later ones fill it.
     spdlog::flush_on(spdlog::level::info);
-    spdlog::set_pattern(
-        R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","host":")" +
-            settings.host + R"(","message":"%v"})",
-        spdlog::pattern_time_type::utc);
+    spdlog::set_formatter(rhubarbgrade::make_json_formatter(settings.host));
     try
     {
         rhubarbgrade::node host(settings, boot.hedging);
