--- a/src/store/spawn.hpp
+++ b/src/store/spawn.hpp
@@ -66,7 +66,7 @@
 run_service(std::function<boost::asio::awaitable<void>()> start_task,
             std::string_view task_name, std::chrono::milliseconds first_pause)
 {
-    using clock_t = std::chrono::steady_clock;
+    using steady_clock_t = std::chrono::steady_clock;
     constexpr std::chrono::milliseconds max_pause{2000};
     // A task that has run for this long has not failed at once.
     constexpr std::chrono::seconds sound_time{10};
@@ -74,7 +74,7 @@
     auto pause = first_pause;
     for (;;)
     {
-        const auto started = clock_t::now();
+        const auto started = steady_clock_t::now();
         std::exception_ptr fault;
         try
         {
@@ -85,7 +85,7 @@
         {
             fault = std::current_exception();
         }
-        if (clock_t::now() - started >= sound_time)
+        if (steady_clock_t::now() - started >= sound_time)
             pause = first_pause;
         spdlog::critical("event=task_restarted task=\"{}\" pause_ms={} "
                          "reason=\"{}\"",
