Soak planned work while the store loses responses to watches

integration-planned-work "[lossy]": before endpoints leave and configurations change, the store is set to lose the response to one or two watches of the kind, and half of the time to answer later pages of lists from a copy. An endpoint that has left must get nothing later than the contact bound after the fault.

--- a/tests/integration/integration-planned-work.cpp
+++ b/tests/integration/integration-planned-work.cpp
@@ -38,6 +38,8 @@
 
 constexpr long long drain_ms = 2000;        // bounds.drainMs
 constexpr long long config_apply_ms = 2000; // bounds.configApplyMs
+constexpr long long contact_ms = 3000;      // bounds.contactMs
+constexpr long long fault_ms = 1000;        // of the store, each
 constexpr long long loss_slack_ms = 200;    // bounds.lossSlackMs
 constexpr long long ms_per_second = 1000;
 constexpr long long plain_deadline_ms = 3000;
@@ -99,17 +101,25 @@
     long long left_at = 0; ///< the store has acknowledged its leaving
 };
 
+/// What happens besides the planned work.
+struct disturbances
+{
+    bool late_hosts = false;  ///< hosts are held up
+    bool lossy_store = false; ///< responses to watches are lost, and lists that
+                              ///< allow old data get pages of different age
+};
+
 /// Plays a schedule of planned work.
 class planned_work
 {
 public:
     planned_work(std::uint64_t seed, int scale, long long duration_ms,
-                 bool late_hosts)
+                 const disturbances& besides)
         : m_seed(seed),
           m_random(seed),
           m_scale(scale),
           m_duration_ms(duration_ms),
-          m_late_hosts(late_hosts)
+          m_besides(besides)
     {
         constexpr int hosts_each = 4;
         constexpr int clients_each = 32;
@@ -229,7 +239,7 @@
                        replace_endpoint();
                    });
         }
-        if (m_late_hosts)
+        if (m_besides.late_hosts)
             add_freezes();
     }
 
@@ -473,6 +483,29 @@
         return *(values.begin() + draw(0, static_cast<int>(values.size()) - 1));
     }
 
+    /// Lets the store lose the responses to the next watches of a kind, and
+    /// answer later pages of lists from a copy that is made now.
+    void lose_responses(const std::string& kind)
+    {
+        constexpr int lossy_percent = 60;
+        constexpr int stale_percent = 50;
+        if (!m_besides.lossy_store || !chance(lossy_percent))
+            return;
+        m_site.set_store_fault(
+            {{"save", true},
+             {"lose_watches", draw(1, 2)},
+             {"lost_kind", kind},
+             {"stale", chance(stale_percent) ? "later" : ""}});
+        m_lossy_until.push_back(monotonic_ms() + fault_ms);
+        at(m_lossy_until.back(),
+           [this]
+           {
+               // A later fault goes on.
+               if (monotonic_ms() >= m_lossy_until.back())
+                   m_site.set_store_fault(json::object());
+           });
+    }
+
     /// Publishes a configuration; later ones have more routes and tenants.
     void publish(bool may_add)
     {
@@ -500,6 +533,8 @@
                      {{"name", "others"}, {"apiKeys", {"k2"}}}};
         if (m_has_tenant)
             tenants.push_back({{"name", "third"}, {"apiKeys", {"k3"}}});
+        if (may_add)
+            lose_responses("config");
         m_site.publish_configuration(
             m_version, {{"routes", routes},
                         {"tenants", tenants},
@@ -512,7 +547,9 @@
             return;
         ++m_versions;
         // Used once it must be in force.
-        at(monotonic_ms() + config_apply_ms,
+        const auto apply_ms =
+            m_besides.lossy_store ? contact_ms + fault_ms : config_apply_ms;
+        at(monotonic_ms() + apply_ms,
            [this, routes = m_added_routes, tenant = m_has_tenant]
            {
                while (m_offered_routes < routes)
@@ -558,6 +595,7 @@
         add_endpoint(m_endpoints[chosen].service);
         auto& leaving = m_endpoints[chosen];
         const bool announced = !chance(unannounced_percent);
+        lose_responses("servers");
         if (announced)
             m_site.list_replica(leaving.id, leaving.service, "draining", "v1",
                                 slots);
@@ -624,7 +662,8 @@
     std::mt19937_64 m_random;
     int m_scale;
     long long m_duration_ms;
-    bool m_late_hosts;
+    disturbances m_besides;
+    std::vector<long long> m_lossy_until; ///< ends of the store's faults
     int m_host_count = 0;
     long long m_started_at = 0;
     bool m_ending = false;
@@ -907,9 +946,13 @@
 
 void planned_work::judge_endpoints(const json& run)
 {
+    const auto run_at = run["at_ms"].get<long long>();
+    // The response that tells of it may be lost.
+    const auto bound_ms =
+        m_besides.lossy_store ? fault_ms + contact_ms : drain_ms;
     for (const auto& each : m_endpoints)
         if (each.id == run["replica"] && each.left_at != 0 &&
-            run["at_ms"].get<long long>() > each.left_at + drain_ms)
+            run_at > each.left_at + bound_ms)
             fail("reached an endpoint that had left",
                  "seed " + std::to_string(m_seed) + " " + each.id + " left " +
                      std::to_string(each.left_at - m_started_at) + " run " +
@@ -951,6 +994,7 @@
               << " at_start=" << m_quick_stops << " changes=" << m_changes
               << " versions=" << m_versions << " leavings=" << m_leavings
               << " freezes=" << m_freeze_count
+              << " store_faults=" << m_lossy_until.size()
               << " no_listener=" << m_clients->counts().no_listener
               << " closed_idle=" << m_clients->counts().closed_idle;
     for (const auto& [name, count] : m_tally)
@@ -958,7 +1002,7 @@
     return m_failures;
 }
 
-void soak(bool late_hosts, long long seconds)
+void soak(const disturbances& besides, long long seconds)
 {
     constexpr long long ci_seed = 20261206;
     const auto seed = from_environment("RHUBARBGRADE_SOAK_SEED", ci_seed);
@@ -966,7 +1010,7 @@
         static_cast<std::uint64_t>(seed),
         static_cast<int>(from_environment("RHUBARBGRADE_SOAK_SCALE", 1)),
         from_environment("RHUBARBGRADE_SOAK_SECONDS", seconds) * ms_per_second,
-        late_hosts);
+        besides);
     work.play();
     const auto failures = work.judge();
     for (const auto& failure : failures)
@@ -1015,7 +1059,7 @@
 TEST_CASE("planned work in series and overlapping loses no request", "[soak]")
 {
     constexpr long long seconds = 45;
-    soak(false, seconds);
+    soak({}, seconds);
 }
 
 TEST_CASE("planned work loses no request at hosts that are late, apart from "
@@ -1023,5 +1067,13 @@
           "[late]")
 {
     constexpr long long seconds = 15;
-    soak(true, seconds);
+    soak({.late_hosts = true}, seconds);
+}
+
+TEST_CASE("planned work loses no request while the store loses responses to "
+          "watches and has old copies",
+          "[lossy]")
+{
+    constexpr long long seconds = 20;
+    soak({.lossy_store = true}, seconds);
 }
