--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -182,7 +182,8 @@
                  "changes={} stale_allowed={}",
                  watch->kind, revision, page->revision, page->events.size(),
                  stale_allowed);
-    watch->overtaken_by = std::move(*page);
+    watch->changes = std::move(*page);
+    watch->overtaken = true;
     m_store.abort_watch(waits_for);
     co_return true;
 }
--- a/src/store/waiting_watch.hpp
+++ b/src/store/waiting_watch.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <cstdint>  // uint64_t
-#include <optional> // optional
-#include <string>   // string
+#include <cstdint> // uint64_t
+#include <string>  // string
 
 #include <platform/store_calls.hpp> // event_page
 
@@ -18,8 +17,8 @@
     /// Whether a response that allows no old data has shown, since the watch
     /// last failed, that it has missed nothing.
     bool proven = false;
-    /// Changes that a check has received before the watch.
-    std::optional<platform::event_page> overtaken_by;
+    bool overtaken = false;       ///< a check has received changes before it
+    platform::event_page changes; ///< these changes, if it is overtaken
 };
 
 } // namespace rhubarbgrade
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -144,6 +144,79 @@
     listener.reached(page.revision);
 }
 
+/// What follows a call of a watch.
+enum class watch_step
+{
+    report, ///< changes, maybe none, are to be reported
+    retry,  ///< the call has failed
+    relist, ///< the kind has to be listed again
+};
+
+/// What a watch keeps from call to call.
+struct watch_progress
+{
+    std::uint64_t era = 0; ///< of the store when the kind was listed
+    milliseconds margin = min_watch_margin;
+    retry_pauses pauses;
+};
+
+/// Waits for changes. They are taken from a check if that has received them
+/// before the watch.
+/// @param[out] page  the changes
+asio::awaitable<watch_step> await_changes(store_client& store, watch_gate& gate,
+                                          waiting_watch& waiting,
+                                          const watch_listener& listener,
+                                          watch_progress& progress,
+                                          platform::event_page& page)
+{
+    constexpr unsigned gone = 410;
+    const auto started = time_point_t::clock::now();
+    const auto renewals = gate.renewals();
+    waiting.target =
+        platform::watch_target(waiting.kind, waiting.revision, watch_wait);
+    const auto response =
+        co_await store.call(call_purpose::watch, verb::get, waiting.target, {},
+                            watch_wait + progress.margin);
+    waiting.target.clear();
+    page = std::exchange(waiting.changes, {});
+    if (std::exchange(waiting.overtaken, false) && !response.is(200))
+    {
+        progress.pauses.reset();
+        co_return store.era() == progress.era ? watch_step::report
+                                              : watch_step::relist;
+    }
+    waiting.proven = response.is(200);
+    if (gate.renewals() != renewals && response.end != call_outcome::answered)
+        co_return watch_step::retry;
+    progress.margin = next_watch_margin(progress.margin, response.end);
+    listener.answered(response.is(200) || response.is(gone));
+    if (response.is(gone) || store.era() != progress.era)
+        co_return watch_step::relist;
+    if (!response.is(200))
+    {
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(
+            time_point_t::clock::now() - started);
+        spdlog::warn("event=watch_failed kind={} revision={} status={} "
+                     "after_ms={} too_large={}",
+                     waiting.kind, waiting.revision, response.status,
+                     elapsed.count(), response.too_large);
+        co_await gate.pause(progress.pauses.next());
+        // The same events would be too large again; pages of a list are not.
+        co_return response.too_large ? watch_step::relist : watch_step::retry;
+    }
+    progress.pauses.reset();
+    auto decoded = platform::decode_events(response.body);
+    if (!decoded)
+    {
+        spdlog::warn("{}; listing {} again", decoded.error().message(),
+                     waiting.kind);
+        co_await gate.pause(progress.pauses.next());
+        co_return watch_step::relist;
+    }
+    page = std::move(*decoded);
+    co_return watch_step::report;
+}
+
 /// Reports changes from a revision on; returns when the kind has to be listed
 /// again: the history is gone, the store has begun another one, or something
 /// has changed since a list that is not complete.
@@ -152,83 +225,36 @@
                                  const watch_listener& listener,
                                  list_summary list)
 {
-    constexpr unsigned gone = 410;
-    const auto& kind = waiting.kind;
     const auto relist_at = time_point_t::clock::now() + relist_interval;
     bool changed = false;
-    const auto era = store.era();
-    auto margin = min_watch_margin;
-    retry_pauses pauses;
+    watch_progress progress;
+    progress.era = store.era();
     waiting.revision = list.revision;
     for (;;)
     {
         // What others have told meanwhile proves nothing of this watch.
         waiting.proven = waiting.proven && gate.open();
         co_await gate.wait_until_open();
-        if (store.era() != era)
+        if (store.era() != progress.era)
             co_return;
         if (listener.known_up_to)
             waiting.revision =
                 std::max(waiting.revision, listener.known_up_to());
-        const auto started = time_point_t::clock::now();
-        const auto renewals = gate.renewals();
-        waiting.target =
-            platform::watch_target(kind, waiting.revision, watch_wait);
-        const auto response =
-            co_await store.call(call_purpose::watch, verb::get, waiting.target,
-                                {}, watch_wait + margin);
-        waiting.target.clear();
-        auto page = std::exchange(waiting.overtaken_by, std::nullopt);
-        if (response.is(200))
-            page.reset();
-        if (!page)
-        {
-            waiting.proven = response.is(200);
-            const bool ended_here = gate.renewals() != renewals &&
-                                    response.end != call_outcome::answered;
-            if (ended_here)
-                continue;
-            margin = next_watch_margin(margin, response.end);
-            listener.answered(response.is(200) || response.is(gone));
-        }
-        if (response.is(gone) || store.era() != era)
+        platform::event_page page;
+        const auto step = co_await await_changes(store, gate, waiting, listener,
+                                                 progress, page);
+        if (step == watch_step::relist)
             co_return;
-        if (!page && !response.is(200))
-        {
-            const auto elapsed = std::chrono::duration_cast<milliseconds>(
-                time_point_t::clock::now() - started);
-            spdlog::warn("event=watch_failed kind={} revision={} status={} "
-                         "after_ms={} too_large={}",
-                         kind, waiting.revision, response.status,
-                         elapsed.count(), response.too_large);
-            co_await gate.pause(pauses.next());
-            // The same events would be too large again; pages of a list are
-            // not.
-            if (response.too_large)
-                co_return;
+        if (step == watch_step::retry)
             continue;
-        }
-        pauses.reset();
-        if (!page)
-        {
-            auto decoded = platform::decode_events(response.body);
-            if (!decoded)
-            {
-                spdlog::warn("{}; listing {} again", decoded.error().message(),
-                             kind);
-                co_await gate.pause(pauses.next());
-                co_return;
-            }
-            page = std::move(*decoded);
-        }
-        waiting.revision = page->revision;
-        store.learn_revision(page->revision);
-        report_changes(*page, kind, listener);
-        changed = changed || !page->events.empty() || page->unreadable != 0;
+        waiting.revision = page.revision;
+        store.learn_revision(page.revision);
+        report_changes(page, waiting.kind, listener);
+        changed = changed || !page.events.empty() || page.unreadable != 0;
         if (!list.complete && changed &&
             time_point_t::clock::now() >= relist_at)
             co_return;
-        if (!page->events.empty())
+        if (!page.events.empty())
             co_await gate.pause(batch_time);
     }
 }
