Prove a reader's watches by one call at the full price

Change: the first such response tells the present revision; for the other watches a cheaper call does, if the copy that answers it is no older.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -132,20 +132,31 @@
 asio::awaitable<bool> store_reader::call_store()
 {
     const auto unproven = m_gate.unproven_watches();
+    // A response that allows no old data tells the present revision. Then old
+    // copies are known as such, and cheaper calls do for the other watches.
+    bool stale_allowed = false;
     for (const auto& each : unproven)
-        if (!co_await check_watch(each, false))
+    {
+        const auto result = co_await check_watch(each, stale_allowed);
+        if (result == check_result::unanswered)
             co_return false;
+        each->proven = each->proven || result == check_result::sound;
+        stale_allowed = stale_allowed || result == check_result::sound;
+    }
     if (!unproven.empty())
         co_return true;
     if (const auto watch = m_gate.next_watch())
-        co_return co_await check_watch(watch, true);
+    {
+        const auto result = co_await check_watch(watch, true);
+        co_return result != check_result::unanswered;
+    }
     auto target = platform::list_target(platform::move_kind, "", true);
     const auto answer = co_await m_store.call(
         call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
     co_return answer.is(200);
 }
 
-asio::awaitable<bool>
+asio::awaitable<store_reader::check_result>
 store_reader::check_watch(const std::shared_ptr<waiting_watch>& watch,
                           bool stale_allowed)
 {
@@ -158,26 +169,29 @@
         call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
     // A watch whose history is gone is told so, too.
     if (answer.is(gone))
-        co_return true;
+        co_return check_result::answered;
     if (!answer.is(200))
-        co_return false;
+        co_return check_result::unanswered;
     auto page = platform::decode_events(answer.body);
     if (!page)
     {
         spdlog::warn("{}", page.error().message());
-        co_return true;
+        co_return check_result::answered;
     }
     // It has been answered meanwhile.
     if (watch->target != waits_for)
-        co_return true;
+        co_return check_result::answered;
+    const auto known = m_store.known_revision();
     const auto verdict =
         judge_watch({!page->events.empty() || page->unreadable != 0,
-                     page->revision, m_store.known_revision()});
+                     page->revision, known});
     if (verdict == watch_verdict::unknown && stale_allowed)
         co_return co_await check_watch(watch, false);
-    watch->proven = watch->proven || !stale_allowed;
+    const auto result =
+        page->revision >= known ? check_result::sound : check_result::answered;
+    m_store.learn_revision(page->revision);
     if (verdict != watch_verdict::overtaken)
-        co_return true;
+        co_return result;
     spdlog::info("event=watch_overtaken kind={} revision={} reached={} "
                  "changes={} stale_allowed={}",
                  watch->kind, revision, page->revision, page->events.size(),
@@ -185,7 +199,7 @@
     watch->changes = std::move(*page);
     watch->overtaken = true;
     m_store.abort_watch(waits_for);
-    co_return true;
+    co_return result;
 }
 
 asio::awaitable<void> store_reader::probe()
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -127,9 +127,15 @@
     /// checks all watches that aren't proven.
     /// @return whether the store answered
     boost::asio::awaitable<bool> call_store();
+    /// What a check of a watch has shown.
+    enum class check_result
+    {
+        unanswered,
+        answered, ///< nothing, or only as of an old copy of the store
+        sound,    ///< the watch has missed nothing up to the known revision
+    };
     /// Asks for the changes that a watch waits for, and hands them over.
-    /// @return whether the store answered
-    boost::asio::awaitable<bool>
+    boost::asio::awaitable<check_result>
     check_watch(const std::shared_ptr<waiting_watch>& watch,
                 bool stale_allowed);
     void record_outcome(bool answered);
