--- /dev/null
+++ b/review/standins-3/replica.cpp
@@ -0,0 +1,189 @@
+// Stand-in for a replica, as PROTOCOL.md describes it. It registers itself in
+// the store, writes there each 1.2 s, compares Expect-Instance, and logs each
+// request that it runs. On SIGTERM it reports "draining" and serves on until it
+// is killed.
+//
+// usage: replica ID SERVICE VERSION STORE_PORT RECORD [KEY=VALUE...]
+//   bytes=N      size of the answer's body (800)
+//   list_bytes=N the same for paths that end with "list"
+//   work_ms=N    time that a run takes (5)
+//   fail=SHARE   part of the runs that end with status 500 (0)
+//   crash_on=TEXT ends the process when it begins to run a request whose body
+//                is TEXT
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "net.hpp"
+
+using nlohmann::json;
+
+namespace
+{
+
+std::string id;
+std::string service;
+std::string version;
+int store_port = 0;
+int record_file = -1;
+std::size_t body_bytes = 800;
+std::size_t list_bytes = 800;
+int work_ms = 5;
+double fail_share = 0;
+std::string crash_on;
+volatile std::sig_atomic_t draining = 0;
+
+void log(const json& event)
+{
+    const auto line = event.dump() + "\n";
+    (void)!::write(record_file, line.data(), line.size());
+}
+
+/// Byte I of each body; tests can tell whether a body is whole.
+char byte_at(std::size_t i)
+{
+    return static_cast<char>('a' + i % 26);
+}
+
+bool fails()
+{
+    static std::mutex mutex;
+    static std::mt19937 random(std::random_device{}());
+    const std::lock_guard lock(mutex);
+    return std::uniform_real_distribution<double>(0, 1)(random) < fail_share;
+}
+
+void serve(int connection)
+{
+    net::reader in(connection);
+    for (;;)
+    {
+        const auto request = in.read(false);
+        if (!request.complete)
+            break;
+        const auto request_id = request.field("request-id");
+        if (request.field("expect-instance") != id &&
+            !request.field("expect-instance").empty())
+        {
+            if (!net::send_all(connection, "HTTP/1.1 421 Misdirected Request\r\n"
+                                           "Replica-Id: " +
+                                               id +
+                                               "\r\nContent-Length: 0\r\n\r\n"))
+                break;
+            continue;
+        }
+        log({{"at", net::now_ms()},
+             {"event", "run"},
+             {"replica", id},
+             {"version", version},
+             {"request", request_id},
+             {"line", request.first_line}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
+        if (!crash_on.empty() && request.body == crash_on)
+        {
+            log({{"at", net::now_ms()},
+                 {"event", "crash"},
+                 {"replica", id},
+                 {"request", request_id}});
+            std::_Exit(1);
+        }
+        const bool failed = fails();
+        const bool is_list =
+            request.first_line.find("list ") != std::string::npos;
+        std::string body(is_list ? list_bytes : body_bytes, ' ');
+        for (std::size_t i = 0; i < body.size(); ++i)
+            body[i] = byte_at(i);
+        const std::string head =
+            std::string(failed ? "HTTP/1.1 500 Internal Server Error"
+                               : "HTTP/1.1 200 OK") +
+            "\r\nRequest-Id: " + request_id +
+            "\r\nResponse-Signature: s." + id +
+            "\r\nContent-Type: text/plain\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n";
+        const bool sent = net::send_all(connection, head + body);
+        log({{"at", net::now_ms()},
+             {"event", sent ? "answered" : "answer not taken"},
+             {"replica", id},
+             {"request", request_id},
+             {"status", failed ? 500 : 200}});
+        if (!sent)
+            break;
+    }
+    ::close(connection);
+}
+
+void register_with_store(int port)
+{
+    const auto born = net::unix_ms();
+    for (std::uint64_t sequence = 1;; ++sequence)
+    {
+        const json spec{{"service", service},
+                        {"address", "127.0.0.1:" + std::to_string(port)},
+                        {"zone", "zone-a"},
+                        {"version", version},
+                        {"slots", 128},
+                        {"state", draining != 0 ? "draining" : "ready"},
+                        {"coldRemainingMs", 0},
+                        {"sequence", sequence},
+                        {"born", born}};
+        const auto body = json{{"metadata", {{"name", id}}}, {"spec", spec}}.dump();
+        if (sequence == 1)
+            net::call(store_port, "POST", "/api/objects/servers", body);
+        else
+            net::call(store_port, "PUT", "/api/objects/servers/" + id, body);
+        const bool before = draining != 0;
+        for (int i = 0; i < 60 && before == (draining != 0); ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    id = arguments[1];
+    service = arguments[2];
+    version = arguments[3];
+    store_port = std::atoi(arguments[4]);
+    record_file =
+        ::open(arguments[5], O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    for (int i = 6; i < count; ++i)
+    {
+        const std::string option = arguments[i];
+        const auto equals = option.find('=');
+        const auto name = option.substr(0, equals);
+        const auto value = option.substr(equals + 1);
+        if (name == "bytes")
+            body_bytes = std::stoul(value);
+        else if (name == "list_bytes")
+            list_bytes = std::stoul(value);
+        else if (name == "work_ms")
+            work_ms = std::stoi(value);
+        else if (name == "fail")
+            fail_share = std::stod(value);
+        else if (name == "crash_on")
+            crash_on = value;
+    }
+    std::signal(SIGTERM, [](int) { draining = 1; });
+    std::signal(SIGPIPE, SIG_IGN);
+    int port = 0;
+    const int acceptor = net::listen_on(port);
+    if (acceptor < 0)
+        return 1;
+    std::thread(register_with_store, port).detach();
+    for (;;)
+    {
+        const int connection = ::accept(acceptor, nullptr, nullptr);
+        if (connection < 0)
+            continue;
+        const int on = 1;
+        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        std::thread(serve, connection).detach();
+    }
+}
