--- a/review/standins-3/replica.cpp
+++ b/review/standins-3/replica.cpp
@@ -8,6 +8,9 @@
 //   list_bytes=N the same for paths that end with "list"
 //   work_ms=N    time that a run takes (5)
 //   fail=SHARE   part of the runs that end with status 500 (0)
+//   stride=N     it is an engine: it generates as many tokens as the request
+//                allows at most (Token-Usage), in events of N tokens if the
+//                path begins with /stream/, else in one body
 //   crash_on=TEXT ends the process when it begins to run a request whose body
 //                is TEXT
 
@@ -37,6 +40,7 @@
 int work_ms = 5;
 double fail_share = 0;
 std::string crash_on;
+int stride = 0;
 volatile std::sig_atomic_t draining = 0;
 
 void log(const json& event)
@@ -59,6 +63,55 @@
     return std::uniform_real_distribution<double>(0, 1)(random) < fail_share;
 }
 
+void log_run(const net::message& request)
+{
+    log({{"at", net::now_ms()},
+         {"event", "run"},
+         {"replica", id},
+         {"version", version},
+         {"request", request.field("request-id")},
+         {"line", request.first_line}});
+}
+
+/// Generates the tokens of an answer and sends them.
+bool generate(int connection, const net::message& request)
+{
+    log_run(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
+    const auto usage = request.field("token-usage");
+    const int in = std::atoi(usage.c_str());
+    const int out = std::atoi(usage.c_str() + usage.find(',') + 1);
+    const bool is_stream =
+        request.first_line.find(" /stream/") != std::string::npos;
+    std::string body;
+    for (int made = 0, event = 1; made < out; ++event)
+    {
+        if (is_stream)
+            body += "id: " + std::to_string(event) + "\ndata:";
+        for (int i = 0; i < (is_stream ? stride : out) && made < out; ++i)
+        {
+            body += " token";
+            ++made;
+        }
+        body += is_stream ? "\n\n" : "\n";
+    }
+    const bool sent = net::send_all(
+        connection,
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("request-id") +
+            "\r\nResponse-Signature: s." + id + "\r\nContent-Type: " +
+            (is_stream ? "text/event-stream" : "application/json") +
+            "\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body);
+    log({{"at", net::now_ms()},
+         {"event", "generated"},
+         {"replica", id},
+         {"request", request.field("request-id")},
+         {"tenant", request.field("tenant-id")},
+         {"in", in},
+         {"out", out}});
+    return sent;
+}
+
 void serve(int connection)
 {
     net::reader in(connection);
@@ -78,12 +131,13 @@
                 break;
             continue;
         }
-        log({{"at", net::now_ms()},
-             {"event", "run"},
-             {"replica", id},
-             {"version", version},
-             {"request", request_id},
-             {"line", request.first_line}});
+        if (stride != 0)
+        {
+            if (!generate(connection, request))
+                break;
+            continue;
+        }
+        log_run(request);
         std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
         if (!crash_on.empty() && request.body == crash_on)
         {
@@ -167,6 +221,8 @@
             work_ms = std::stoi(value);
         else if (name == "fail")
             fail_share = std::stod(value);
+        else if (name == "stride")
+            stride = std::stoi(value);
         else if (name == "crash_on")
             crash_on = value;
     }
