--- a/review/standins-3/replica.cpp
+++ b/review/standins-3/replica.cpp
@@ -11,6 +11,8 @@
 //   stride=N     it is an engine: it generates as many tokens as the request
 //                allows at most (Token-Usage), in events of N tokens if the
 //                path begins with /stream/, else in one body
+//   unframed=1   answers of an engine have no length and end with their channel;
+//                they begin with a comment, and events come each work_ms
 //   crash_on=TEXT ends the process when it begins to run a request whose body
 //                is TEXT
 
@@ -41,6 +43,7 @@
 double fail_share = 0;
 std::string crash_on;
 int stride = 0;
+bool unframed = false;
 volatile std::sig_atomic_t draining = 0;
 
 void log(const json& event)
@@ -73,14 +76,51 @@
          {"line", request.first_line}});
 }
 
+void log_generated(const net::message& request, int in, int out)
+{
+    log({{"at", net::now_ms()},
+         {"event", "generated"},
+         {"replica", id},
+         {"request", request.field("request-id")},
+         {"tenant", request.field("tenant-id")},
+         {"in", in},
+         {"out", out}});
+}
+
+/// Sends an event stream without a length; its channel ends it.
+void stream_unframed(int connection, const net::message& request, int in,
+                     int out)
+{
+    net::send_all(connection,
+                  "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                      request.field("request-id") +
+                      "\r\nResponse-Signature: s." + id +
+                      "\r\nContent-Type: text/event-stream\r\n"
+                      "Connection: close\r\n\r\n: connected\n\n");
+    for (int made = 0, event = 1; made < out; ++event)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
+        std::string text = "id: " + std::to_string(event) + "\ndata:";
+        for (int i = 0; i < stride && made < out; ++i, ++made)
+            text += " token";
+        net::send_all(connection, text + "\n\n");
+    }
+    log_generated(request, in, out);
+}
+
 /// Generates the tokens of an answer and sends them.
 bool generate(int connection, const net::message& request)
 {
     log_run(request);
-    std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
     const auto usage = request.field("token-usage");
     const int in = std::atoi(usage.c_str());
     const int out = std::atoi(usage.c_str() + usage.find(',') + 1);
+    if (unframed)
+    {
+        stream_unframed(connection, request, in, out);
+        return false; // the channel ends the answer
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
     const bool is_stream =
         request.first_line.find(" /stream/") != std::string::npos;
     std::string body;
@@ -102,13 +142,7 @@
             (is_stream ? "text/event-stream" : "application/json") +
             "\r\nContent-Length: " + std::to_string(body.size()) +
             "\r\n\r\n" + body);
-    log({{"at", net::now_ms()},
-         {"event", "generated"},
-         {"replica", id},
-         {"request", request.field("request-id")},
-         {"tenant", request.field("tenant-id")},
-         {"in", in},
-         {"out", out}});
+    log_generated(request, in, out);
     return sent;
 }
 
@@ -223,6 +257,8 @@
             fail_share = std::stod(value);
         else if (name == "stride")
             stride = std::stoi(value);
+        else if (name == "unframed")
+            unframed = value == "1";
         else if (name == "crash_on")
             crash_on = value;
     }
