--- a/review/standins-3/comment.cpp
+++ b/review/standins-3/comment.cpp
@@ -36,7 +36,7 @@
     std::map<std::string, pid_t> replicas;
     for (const auto* id : {"i-1", "i-2", "i-3", "i-4"})
         replicas[id] = fleet.start_replica(
-            id, "pool", "v1", {"stride=4", "unframed=1", "work_ms=500"});
+            id, "pool", "v1", {"stride=4", "unframed=1", "comment=1", "work_ms=500"});
     for (const auto* name : {"front-1", "front-2"})
         fleet.start_host(name, review::usual_bounds());
     for (const auto* name : {"front-1", "front-2"})
--- a/review/standins-3/replica.cpp
+++ b/review/standins-3/replica.cpp
@@ -1,7 +1,8 @@
 // Stand-in for a replica, as PROTOCOL.md describes it. It registers itself in
 // the store, writes there each 1.2 s, compares Expect-Instance, and logs each
-// request that it runs. On SIGTERM it reports "draining" and serves on until it
-// is killed.
+// request that it runs. On SIGTERM it reports "draining", serves on for 2 s
+// (drainMs) after the store has accepted that and until it has answered all that
+// it runs, and exits.
 //
 // usage: replica ID SERVICE VERSION STORE_PORT RECORD [KEY=VALUE...]
 //   bytes=N      size of the answer's body (800)
@@ -12,10 +13,13 @@
 //                allows at most (Token-Usage), in events of N tokens if the
 //                path begins with /stream/, else in one body
 //   unframed=1   answers of an engine have no length and end with their channel;
-//                they begin with a comment, and events come each work_ms
+//                an event comes each work_ms. A path that ends with /N makes it
+//                generate N tokens
+//   comment=1    these answers begin with a comment
 //   crash_on=TEXT ends the process when it begins to run a request whose body
 //                is TEXT
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
@@ -44,6 +48,8 @@
 std::string crash_on;
 int stride = 0;
 bool unframed = false;
+bool comment = false;
+std::atomic<int> running{0};
 volatile std::sig_atomic_t draining = 0;
 
 void log(const json& event)
@@ -96,7 +102,8 @@
                       request.field("request-id") +
                       "\r\nResponse-Signature: s." + id +
                       "\r\nContent-Type: text/event-stream\r\n"
-                      "Connection: close\r\n\r\n: connected\n\n");
+                      "Connection: close\r\n\r\n" +
+                      (comment ? ": connected\n\n" : ""));
     for (int made = 0, event = 1; made < out; ++event)
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
@@ -117,7 +124,11 @@
     const int out = std::atoi(usage.c_str() + usage.find(',') + 1);
     if (unframed)
     {
-        stream_unframed(connection, request, in, out);
+        const auto& line = request.first_line;
+        const auto path = line.substr(0, line.rfind(' '));
+        const int wanted = std::atoi(path.c_str() + path.rfind('/') + 1);
+        stream_unframed(connection, request, in,
+                        wanted != 0 ? std::min(wanted, out) : out);
         return false; // the channel ends the answer
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
@@ -146,6 +157,20 @@
     return sent;
 }
 
+/// Counts a request while it runs.
+struct busy
+{
+    busy()
+    {
+        ++running;
+    }
+
+    ~busy()
+    {
+        --running;
+    }
+};
+
 void serve(int connection)
 {
     net::reader in(connection);
@@ -154,6 +179,7 @@
         const auto request = in.read(false);
         if (!request.complete)
             break;
+        const busy answering;
         const auto request_id = request.field("request-id");
         if (request.field("expect-instance") != id &&
             !request.field("expect-instance").empty())
@@ -167,7 +193,10 @@
         }
         if (stride != 0)
         {
-            if (!generate(connection, request))
+            const bool goes_on = generate(connection, request);
+            if (!goes_on)
+                ::shutdown(connection, SHUT_RDWR);
+            if (!goes_on)
                 break;
             continue;
         }
@@ -226,6 +255,15 @@
         else
             net::call(store_port, "PUT", "/api/objects/servers/" + id, body);
         const bool before = draining != 0;
+        if (before)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+            while (running != 0)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            log({{"at", net::now_ms()}, {"event", "exit"}, {"replica", id}});
+            net::call(store_port, "DELETE", "/api/objects/servers/" + id);
+            std::_Exit(0);
+        }
         for (int i = 0; i < 60 && before == (draining != 0); ++i)
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
@@ -259,6 +297,8 @@
             stride = std::stoi(value);
         else if (name == "unframed")
             unframed = value == "1";
+        else if (name == "comment")
+            comment = value == "1";
         else if (name == "crash_on")
             crash_on = value;
     }
