--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in store replica slow_readers overspend poison comment release; do
+for name in store replica overspend release lost_watch comment poison; do
     g++ -std=c++20 -O2 -Wall -Wextra -pthread \
         -o "target/review-3/$name" "review/standins-3/$name.cpp"
 done
--- a/review/standins-3/net.hpp
+++ b/review/standins-3/net.hpp
@@ -174,14 +174,17 @@
         {
             at += 2;
             const auto next = head.find("\r\n", at);
-            const auto line = head.substr(
-                at, next == std::string::npos ? next : next - at);
+            const auto line =
+                head.substr(at, next == std::string::npos ? next : next - at);
             const auto colon = line.find(':');
             if (colon != std::string::npos)
             {
                 auto name = line.substr(0, colon);
                 std::transform(name.begin(), name.end(), name.begin(),
-                               [](unsigned char c) { return std::tolower(c); });
+                               [](unsigned char c)
+                               {
+                                   return std::tolower(c);
+                               });
                 auto value = line.substr(colon + 1);
                 value.erase(0, value.find_first_not_of(' '));
                 result.fields[name] = value;
--- a/review/standins-3/overspend.cpp
+++ b/review/standins-3/overspend.cpp
@@ -29,13 +29,12 @@
 {
     auto state = review::desired_state(
         version, std::move(routes),
-        json::array({json{{"name", "pool"},
-                          {"healthPath", "/healthz"},
-                          {"maxConnections", 620},
-                          {"engine",
-                           {{"slots", 128},
-                            {"kvCapacityTokens", 652207},
-                            {"stride", 4}}}}}));
+        json::array({json{
+            {"name", "pool"},
+            {"healthPath", "/healthz"},
+            {"maxConnections", 620},
+            {"engine",
+             {{"slots", 128}, {"kvCapacityTokens", 652207}, {"stride", 4}}}}}));
     state["tenants"][0]["prepaid"] = prepaid;
     return state;
 }
@@ -58,8 +57,8 @@
     {
         fleet.write_object(
             "config", "main",
-            state(2, json::array({stream,
-                                  model_route("/whole/", "idempotent")})));
+            state(2,
+                  json::array({stream, model_route("/whole/", "idempotent")})));
         review::sleep_ms(3000); // configApplyMs and more
     }
 
@@ -82,11 +81,11 @@
                     auto text = review::request(
                         "POST", review::trouble() ? "/whole/x" : "/stream/x",
                         id, time_limit_ms, "a prompt");
-                    text.insert(text.find("Deadline-Ms"),
-                                "Model: m\r\nToken-Usage: " +
-                                    std::to_string(prompt) + "," +
-                                    std::to_string(most_out) +
-                                    "\r\nPrefix-Hash: 1a:5,2b:5\r\n");
+                    text.insert(
+                        text.find("Deadline-Ms"),
+                        "Model: m\r\nToken-Usage: " + std::to_string(prompt) +
+                            "," + std::to_string(most_out) +
+                            "\r\nPrefix-Hash: 1a:5,2b:5\r\n");
                     net::send_all(channel, text);
                     net::reader in(channel);
                     in.set_timeout(2 * time_limit_ms);
--- a/review/standins-3/release.cpp
+++ b/review/standins-3/release.cpp
@@ -18,9 +18,8 @@
 net::message ask(int channel, net::reader& in, const std::string& id,
                  int tokens)
 {
-    auto text =
-        review::request("POST", "/stream/" + std::to_string(tokens), id,
-                        time_limit_ms, "a prompt");
+    auto text = review::request("POST", "/stream/" + std::to_string(tokens), id,
+                                time_limit_ms, "a prompt");
     text.insert(text.find("Deadline-Ms"),
                 "Model: m\r\nToken-Usage: 100,400\r\nPrefix-Hash: 1a:50," +
                     std::to_string(tokens) + ":50\r\n");
@@ -38,15 +37,14 @@
     route["targetLatencyMs"] = 1500;
     fleet.write_object(
         "config", "main",
-        review::desired_state(
-            1, json::array({route}),
-            json::array({json{{"name", "pool"},
-                              {"healthPath", "/healthz"},
-                              {"maxConnections", 620},
-                              {"engine",
-                               {{"slots", 128},
-                                {"kvCapacityTokens", 652207},
-                                {"stride", 4}}}}})));
+        review::desired_state(1, json::array({route}),
+                              json::array({json{{"name", "pool"},
+                                                {"healthPath", "/healthz"},
+                                                {"maxConnections", 620},
+                                                {"engine",
+                                                 {{"slots", 128},
+                                                  {"kvCapacityTokens", 652207},
+                                                  {"stride", 4}}}}})));
     const std::vector<std::string> options{"stride=4", "unframed=1",
                                            "work_ms=240"};
     std::vector<pid_t> old;
