A lost response to a watch is found however old the store's copies are

Cause: the check of a watch may be answered from an old copy, and such a copy counted as recent unless the host had seen a later revision. Where little is written, the lost response was the only one that would have told it. A proof has a time, and that time was not known.

Change: the host keeps revisions that the store had reached at known times, from calls that allow no old data and from its own writes of the account. Each watch is complete up to a time. A reader asks at the full price for what would otherwise be older than max_reader_age at the next check, and tells its zone the age of its least proven watch. A check whose history is gone lets the kind be listed again. The verdict of judge_watch is by that time now, not by a revision; its unit test is replaced by one with the same cases and the new ones.

The product also logs present_checks.

--- a/include/rhubarbgrade/detail/membership/reader_choice.hpp
+++ b/include/rhubarbgrade/detail/membership/reader_choice.hpp
@@ -35,6 +35,11 @@
     milliseconds deputy_step{100};
     /// Lower bound of the age: news come twice a second, and one may be lost.
     milliseconds min_state_age{1200};
+    /// What telling the other hosts of the zone takes of it.
+    milliseconds news_time{150};
+    /// Upper bound of the age of a reader's own state: from 2.6 s on, hosts
+    /// look for a newer one, and a check may be late.
+    milliseconds max_reader_age{2100};
 };
 
 /// @brief Chooses the host that reads the store for its zone.
@@ -60,6 +65,11 @@
 /// read then is up to date in time.
 milliseconds max_state_age(std::size_t rank, const reader_policy& policy = {});
 
+/// @brief Age that the state of a reader reaches at most while the store
+///        answers it: so that no host reads by itself for it, and a change
+///        whose news to the reader is lost is in force in time.
+milliseconds max_reader_age(const reader_policy& policy = {});
+
 /// @brief What a host does at the store for its state.
 enum class store_use
 {
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbgrade/detail/membership/reader_choice.hpp>
 
-#include <algorithm> // count_if, find_if, max
+#include <algorithm> // count_if, find_if, max, min
 #include <cstdint>   // uint64_t
 #include <utility>   // pair
 
@@ -77,6 +77,12 @@
                                  static_cast<milliseconds::rep>(steps));
 }
 
+milliseconds max_reader_age(const reader_policy& policy)
+{
+    return std::min(policy.max_reader_age,
+                    max_state_age(1, policy) - policy.news_time);
+}
+
 store_use use_of_store(const reader_situation& situation, time_point_t now,
                        const reader_policy& policy)
 {
--- a/src/node/escrow_keeper.cpp
+++ b/src/node/escrow_keeper.cpp
@@ -206,7 +206,6 @@
         m_stale = true;
         return false;
     }
-    m_store.learn_revision(object->revision);
     const bool had_holding = owns_holding();
     const bool was_in_repair = in_repair();
     if (!apply_read(m_view, m_identity.process, std::move(*book),
--- a/src/node/escrow_keeper.hpp
+++ b/src/node/escrow_keeper.hpp
@@ -208,6 +208,9 @@
     time_point_t m_sent_since{}; ///< first time to m_writer
     time_point_t m_sent_at{};    ///< last time
     std::uint64_t m_sent_sequence = 0;
+    /// Last sequence of a change that was sent, and when it was at first.
+    std::uint64_t m_first_sent_sequence = 0;
+    time_point_t m_first_sent_at{};
     int m_failed_writers = 0;    ///< for the pending change
     time_point_t m_written_at{}; ///< begin of the last write that was applied
     int m_consecutive_conflicts = 0;
--- a/src/node/escrow_writing.cpp
+++ b/src/node/escrow_writing.cpp
@@ -102,6 +102,12 @@
     if (m_sent_sequence == change.sequence && now - m_sent_at < resend_interval)
         return std::chrono::ceil<milliseconds>(m_sent_at + resend_interval -
                                                now);
+    // To whichever writer.
+    if (m_first_sent_sequence != change.sequence)
+    {
+        m_first_sent_sequence = change.sequence;
+        m_first_sent_at = now;
+    }
     m_sent_sequence = change.sequence;
     m_sent_at = now;
     ++m_calls.sent;
@@ -182,6 +188,10 @@
             return;
         if (!had_holding)
             m_holding_since = time_point_t::clock::now();
+        // It was written after it had been sent.
+        if (reply.result == change_result::applied &&
+            reply.sequence == m_first_sent_sequence)
+            m_store.record_revision(reply.era, reply.revision, m_first_sent_at);
         ++m_calls.answered;
         record_own_answer();
         apply_view();
@@ -338,8 +348,15 @@
         m_consecutive_conflicts = 0;
         m_failed_writers = 0;
         log_closed(m_view.book, plan.book);
+        const auto before = m_view.revision;
         if (apply_object(reply.body, reply.era))
+        {
+            // A write that changes nothing gets no revision of its own.
+            if (m_view.revision > before)
+                m_store.record_revision(reply.era, m_view.revision,
+                                        m_written_at);
             answer_all(changes, m_view.book, plan.results);
+        }
         co_return milliseconds(0);
     }
     if (reply.is(409))
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -668,15 +668,16 @@
 
 void node_control::record_store_answer(bool answered)
 {
-    m_reader.record_answer(answered, time_point_t::clock::now());
+    m_reader.record_answer(answered);
 }
 
 std::optional<time_point_t> node_control::confirmed_at() const
 {
-    const auto at = m_reader.reads() && m_endpoints_known
-                        ? std::max(m_confirmed_at, m_reader.answered_at())
-                        : m_confirmed_at;
-    return at == time_point_t{} ? std::nullopt : std::optional(at);
+    auto at = m_confirmed_at == time_point_t{} ? std::nullopt
+                                               : std::optional(m_confirmed_at);
+    if (m_reader.reads() && m_endpoints_known)
+        at = std::max(at, m_reader.complete_until());
+    return at;
 }
 
 std::optional<milliseconds> node_control::state_age(time_point_t now) const
@@ -703,8 +704,9 @@
 
 bool node_control::reads_store(time_point_t now) const
 {
-    return m_reader.reads() && m_reader.watches_stand() &&
-           now - m_reader.answered_at() < max_answer_age;
+    const auto until = m_reader.complete_until();
+    return m_reader.reads() && m_reader.watches_stand() && until &&
+           now - *until < max_answer_age;
 }
 
 void node_control::set_endpoints_known(time_point_t now)
@@ -878,7 +880,8 @@
                     read ? m_told_at : waits_since(), now);
     // What this host has read itself stays valid.
     if (read && !m_reader.reads())
-        m_confirmed_at = std::max(m_confirmed_at, m_reader.answered_at());
+        m_confirmed_at = std::max(
+            m_confirmed_at, m_reader.complete_until().value_or(m_confirmed_at));
     m_members.set_speaks(m_reader.speaks());
     const bool current = store_is_current(now);
     if (current && !std::exchange(m_was_current, current))
@@ -1322,13 +1325,14 @@
             m_escrow.log_calls();
             m_members.log_counts();
             spdlog::info("event=store_calls list={} watch={} budget={} move={} "
-                         "probe={} reads={} failing={} state_age_ms={} "
-                         "position={}",
+                         "probe={} present_checks={} reads={} failing={} "
+                         "state_age_ms={} position={}",
                          m_store.calls(call_purpose::list),
                          m_store.calls(call_purpose::watch),
                          m_store.calls(call_purpose::budget),
                          m_store.calls(call_purpose::move),
-                         m_store.calls(call_purpose::probe), m_reader.reads(),
+                         m_store.calls(call_purpose::probe),
+                         m_reader.present_checks(), m_reader.reads(),
                          m_reader.failing(),
                          age_ms(confirmed_at().value_or(time_point_t{}), now),
                          m_position.revision);
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -1,16 +1,18 @@
 #include "store_reader.hpp"
 
-#include <algorithm> // any_of, min
+#include <algorithm> // any_of, max, min
 #include <chrono>    // duration_cast
 #include <utility>   // move
 
 #include <boost/asio/as_tuple.hpp>      // as_tuple
 #include <boost/asio/steady_timer.hpp>  // steady_timer
+#include <boost/asio/this_coro.hpp>     // executor
 #include <boost/asio/use_awaitable.hpp> // use_awaitable
 #include <spdlog/spdlog.h>              // info
 
 #include <platform/store_calls.hpp> // changes_target, decode_events, list_target
 
+#include "../store/spawn.hpp"         // spawn
 #include "../store/store_client.hpp"  // store_client
 #include "../store/waiting_watch.hpp" // waiting_watch
 #include "../store/watch_check.hpp"   // judge_watch
@@ -42,6 +44,18 @@
 
 } // namespace
 
+struct store_reader::running_checks
+{
+    explicit running_checks(const asio::any_io_executor& executor)
+        : ended(executor, time_point_t::max())
+    {
+    }
+
+    std::size_t running = 0;
+    bool answered = true;     ///< all that have ended
+    asio::steady_timer ended; ///< cancelled when one ends
+};
+
 store_reader::store_reader(asio::any_io_executor executor, store_client& store,
                            std::string host, const reader_policy& policy,
                            std::function<void()> changed,
@@ -55,14 +69,7 @@
 {
 }
 
-void store_reader::record_answer(bool answered, time_point_t now)
-{
-    if (answered && m_gate.proven())
-        m_answered_at = now;
-    record_outcome(answered);
-}
-
-void store_reader::record_outcome(bool answered)
+void store_reader::record_answer(bool answered)
 {
     m_failures = answered ? 0 : m_failures + 1;
     m_answered = answered;
@@ -129,77 +136,131 @@
     return pause / 2 + milliseconds(jitter(m_random));
 }
 
+std::optional<time_point_t> store_reader::complete_until() const
+{
+    return m_gate.complete_until(m_store.revisions());
+}
+
 asio::awaitable<bool> store_reader::call_store()
 {
-    const auto unproven = m_gate.unproven_watches();
-    // A response that allows no old data tells the present revision. Then old
-    // copies are known as such, and cheaper calls do for the other watches.
-    bool stale_allowed = false;
-    for (const auto& each : unproven)
+    const auto& revisions = m_store.revisions();
+    const auto needed = needed_completeness(
+        time_point_t::clock::now(), max_reader_age(m_policy), probe_interval);
+    auto incomplete = m_gate.incomplete_watches(revisions, needed);
+    if (reads() && !incomplete.empty())
     {
-        const auto result = co_await check_watch(each, stale_allowed);
-        if (result == check_result::unanswered)
+        // One response that allows no old data tells which copies of the store
+        // are recent. Then cheaper calls mostly do for the other watches.
+        const bool present_known =
+            may_allow_old_data(revisions.latest(), needed);
+        if (!co_await check_watches(incomplete, present_known ? 0 : 1, needed))
             co_return false;
-        each->proven = each->proven || result == check_result::sound;
-        stale_allowed = stale_allowed || result == check_result::sound;
+        incomplete = m_gate.incomplete_watches(revisions, needed);
+        co_return co_await check_watches(incomplete, incomplete.size(), needed);
     }
-    if (!unproven.empty())
-        co_return true;
     if (const auto watch = m_gate.next_watch())
-    {
-        const auto result = co_await check_watch(watch, true);
-        co_return result != check_result::unanswered;
-    }
+        co_return co_await check_watch(watch, true, needed);
     auto target = platform::list_target(platform::move_kind, "", true);
     const auto answer = co_await m_store.call(
         call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
     co_return answer.is(200);
 }
 
-asio::awaitable<store_reader::check_result>
-store_reader::check_watch(const std::shared_ptr<waiting_watch>& watch,
-                          bool stale_allowed)
+asio::awaitable<bool>
+store_reader::check_watches(const std::vector<waiting_watch_ptr_t>& watches,
+                            std::size_t present_calls, time_point_t needed)
+{
+    if (watches.empty())
+        co_return true;
+    // Side by side, so that a store that answers late delays them once.
+    const auto executor = co_await asio::this_coro::executor;
+    const auto checks = std::make_shared<running_checks>(executor);
+    checks->running = watches.size();
+    for (std::size_t i = 0; i < watches.size(); ++i)
+        spawn(executor,
+              run_check(watches[i], i >= present_calls, needed, checks),
+              "check of a watch");
+    while (checks->running != 0)
+        co_await checks->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return checks->answered;
+}
+
+asio::awaitable<void>
+store_reader::run_check(waiting_watch_ptr_t watch, bool old_data_allowed,
+                        time_point_t needed,
+                        std::shared_ptr<running_checks> checks)
+{
+    // Also if the check ends by an exception.
+    const auto end = [](running_checks* ended)
+    {
+        --ended->running;
+        ended->ended.cancel();
+    };
+    const std::unique_ptr<running_checks, decltype(end)> guard(checks.get(),
+                                                               end);
+    const bool answered = co_await check_watch(watch, old_data_allowed, needed);
+    checks->answered = checks->answered && answered;
+}
+
+asio::awaitable<bool>
+store_reader::check_watch(const waiting_watch_ptr_t& watch,
+                          bool old_data_allowed, time_point_t needed)
 {
     constexpr unsigned gone = 410;
     const auto waits_for = watch->target;
     const auto revision = watch->revision;
     auto target =
-        platform::changes_target(watch->kind, revision, stale_allowed);
+        platform::changes_target(watch->kind, revision, old_data_allowed);
+    m_present_checks += old_data_allowed ? 0 : 1;
+    const auto began = time_point_t::clock::now();
     const auto answer = co_await m_store.call(
         call_purpose::probe, verb::get, std::move(target), {}, probe_timeout);
-    // A watch whose history is gone is told so, too.
-    if (answer.is(gone))
-        co_return check_result::answered;
+    // It has been answered meanwhile.
+    const bool waits = watch->target == waits_for;
+    const bool era_ended = watch->era != m_store.era();
+    if (answer.is(gone) || (answer.is(200) && era_ended))
+    {
+        // Changes may have been lost with the history, or with the response
+        // that told the watch so.
+        if (waits && (era_ended || !old_data_allowed))
+        {
+            watch->outdated = true;
+            m_store.abort_watch(waits_for);
+        }
+        co_return true;
+    }
     if (!answer.is(200))
-        co_return check_result::unanswered;
+        co_return false;
     auto page = platform::decode_events(answer.body);
     if (!page)
     {
         spdlog::warn("{}", page.error().message());
-        co_return check_result::answered;
+        co_return true;
     }
-    // It has been answered meanwhile.
-    if (watch->target != waits_for)
-        co_return check_result::answered;
-    const auto known = m_store.known_revision();
-    const auto verdict =
-        judge_watch({!page->events.empty() || page->unreadable != 0,
-                     page->revision, known});
-    if (verdict == watch_verdict::unknown && stale_allowed)
-        co_return co_await check_watch(watch, false);
-    const auto result =
-        page->revision >= known ? check_result::sound : check_result::answered;
-    m_store.learn_revision(page->revision);
+    if (!old_data_allowed)
+        m_store.record_revision(answer.era, page->revision, began);
+    if (!waits)
+        co_return true;
+    const auto until = old_data_allowed
+                           ? m_store.revisions().complete_until(page->revision)
+                           : std::optional(began);
+    const auto verdict = judge_watch(
+        {!page->events.empty() || page->unreadable != 0, until, needed});
     if (verdict != watch_verdict::overtaken)
-        co_return result;
+    {
+        watch->complete_until = std::max(watch->complete_until, until);
+        watch->revision = std::max(watch->revision, page->revision);
+        co_return true;
+    }
     spdlog::info("event=watch_overtaken kind={} revision={} reached={} "
                  "changes={} stale_allowed={}",
                  watch->kind, revision, page->revision, page->events.size(),
-                 stale_allowed);
+                 old_data_allowed);
     watch->changes = std::move(*page);
+    watch->complete_with_changes = until;
     watch->overtaken = true;
     m_store.abort_watch(waits_for);
-    co_return result;
+    co_return true;
 }
 
 asio::awaitable<void> store_reader::probe()
@@ -211,13 +272,9 @@
         pause = probe_interval;
         if (!reads() && !m_failing && !m_asks)
             continue;
-        const bool watches = reads();
         const bool answered = co_await call_store();
         const bool suspect = m_suspect;
-        // It says nothing of a later state unless the watches stand.
-        if (answered && !suspect && watches && m_gate.proven())
-            m_answered_at = time_point_t::clock::now();
-        record_outcome(answered);
+        record_answer(answered);
         pause = next_probe();
         if (!answered)
             continue;
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
+#include <optional>   // optional
 #include <random>     // minstd_rand
 #include <span>       // span
 #include <string>     // string
+#include <vector>     // vector
 
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 #include <boost/asio/awaitable.hpp>       // awaitable
@@ -30,6 +34,9 @@
 /// The call asks for the changes that one of the watches waits for, each in
 /// turn. If there are some, the response to the watch was lost, or is on its
 /// way; either way they are applied at once, and the watch goes on behind them.
+/// It may be answered from an old copy of the store, which tells of the time up
+/// to which the copy is complete only. A watch that hasn't been shown to be
+/// complete for a while is checked by a call that allows no old data.
 class store_reader
 {
 public:
@@ -99,17 +106,20 @@
         return !m_suspect;
     }
 
-    /// @brief Last answer of the store at which no watch could have missed a
-    ///        change, as far as is known: all are proven, and no call has
-    ///        failed since.
-    time_point_t answered_at() const
+    /// @brief All changes of the watched kinds that the store had accepted
+    ///        before are known here, whether or not responses to the watches
+    ///        were lost; empty if no response has shown that yet.
+    std::optional<time_point_t> complete_until() const;
+
+    /// @brief Number of checks of watches so far that allowed no old data.
+    std::uint64_t present_checks() const
     {
-        return m_answered_at;
+        return m_present_checks;
     }
 
     /// @brief Records the end of a call to the store that asks for the present
     ///        state.
-    void record_answer(bool answered, time_point_t now);
+    void record_answer(bool answered);
 
     /// @brief Decides anew how this host uses the store.
     /// @param[in] zone          live hosts of the zone, this one included
@@ -123,22 +133,26 @@
     boost::asio::awaitable<void> probe();
 
 private:
-    /// Makes a cheap call, and checks a watch by it if one waits; instead,
-    /// checks all watches that aren't proven.
+    using waiting_watch_ptr_t = std::shared_ptr<waiting_watch>;
+    struct running_checks;
+
+    /// Checks the watches that aren't complete up to the time needed; makes
+    /// one cheap call if all are.
     /// @return whether the store answered
     boost::asio::awaitable<bool> call_store();
-    /// What a check of a watch has shown.
-    enum class check_result
-    {
-        unanswered,
-        answered, ///< nothing, or only as of an old copy of the store
-        sound,    ///< the watch has missed nothing up to the known revision
-    };
+    /// Checks watches side by side.
+    /// @param[in] present_calls  the first ones, which allow no old data
+    /// @param[in] needed         time up to which they have to be complete
+    boost::asio::awaitable<bool>
+    check_watches(const std::vector<waiting_watch_ptr_t>& watches,
+                  std::size_t present_calls, time_point_t needed);
+    boost::asio::awaitable<void>
+    run_check(waiting_watch_ptr_t watch, bool old_data_allowed,
+              time_point_t needed, std::shared_ptr<running_checks> checks);
     /// Asks for the changes that a watch waits for, and hands them over.
-    boost::asio::awaitable<check_result>
-    check_watch(const std::shared_ptr<waiting_watch>& watch,
-                bool stale_allowed);
-    void record_outcome(bool answered);
+    boost::asio::awaitable<bool> check_watch(const waiting_watch_ptr_t& watch,
+                                             bool old_data_allowed,
+                                             time_point_t needed);
     milliseconds next_probe();
 
     store_client& m_store;
@@ -148,7 +162,7 @@
     std::function<void(bool)> m_recorded;
     watch_gate m_gate;
     std::minstd_rand m_random{std::random_device{}()};
-    time_point_t m_answered_at{};
+    std::uint64_t m_present_checks = 0;
     int m_failures = 0; ///< consecutive
     std::string m_chosen_host;
     std::size_t m_rank = 0;  ///< among the hosts of the zone
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,9 +1,8 @@
 #include "store_client.hpp"
 
-#include <algorithm> // max
-#include <memory>    // make_shared
-#include <string>    // string
-#include <utility>   // move
+#include <memory>  // make_shared
+#include <string>  // string
+#include <utility> // move
 
 #include <spdlog/spdlog.h> // warn
 
@@ -49,9 +48,12 @@
         found->second->close();
 }
 
-void store_client::learn_revision(std::uint64_t revision)
+void store_client::record_revision(std::uint64_t era, std::uint64_t revision,
+                                   time_point_t began)
 {
-    m_known_revision = std::max(m_known_revision, revision);
+    // It may have come after one of a later era.
+    if (era == m_era)
+        m_revisions.record(revision, began);
 }
 
 void store_client::learn_era(std::uint64_t era)
@@ -61,7 +63,7 @@
     if (m_era != 0)
         spdlog::warn("event=store_restored era={} previous_era={}", era, m_era);
     m_era = era;
-    m_known_revision = 0;
+    m_revisions.clear();
 }
 
 boost::asio::awaitable<call_result>
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -11,7 +11,8 @@
 #include <boost/asio/awaitable.hpp>       // awaitable
 #include <boost/beast/http/verb.hpp>      // verb
 
-#include "http_link.hpp" // call_result, http_link
+#include "http_link.hpp"      // call_result, http_link
+#include "revision_times.hpp" // revision_times
 
 namespace rhubarbgrade
 {
@@ -48,13 +49,16 @@
     /// @brief Ends the watch that waits for an answer to a call.
     void abort_watch(const std::string& target);
 
-    /// @brief A response has named a revision of the store.
-    void learn_revision(std::uint64_t revision);
+    /// @brief Records a revision of the store, see @ref revision_times::record.
+    /// @param[in] era  of the response that has told it
+    void record_revision(std::uint64_t era, std::uint64_t revision,
+                         time_point_t began);
 
-    /// @brief Revision that the store has reached in its present era, at least.
-    std::uint64_t known_revision() const
+    /// @brief Revisions that the store had reached in its present era, and
+    /// when.
+    const revision_times& revisions() const
     {
-        return m_known_revision;
+        return m_revisions;
     }
 
     /// @brief Another host has been told of an era of the store.
@@ -81,7 +85,7 @@
     /// Waiting for an answer, by the target of the call.
     std::map<std::string, std::shared_ptr<http_link>> m_watches;
     std::uint64_t m_era = 0;
-    std::uint64_t m_known_revision = 0; ///< in this era
+    revision_times m_revisions; ///< in this era
     std::array<std::uint64_t,
                static_cast<std::size_t>(call_purpose::number_of_purposes)>
         m_call_counts{};
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -1,6 +1,6 @@
 #include "watch_gate.hpp"
 
-#include <algorithm> // all_of, find_if
+#include <algorithm> // find_if, min
 #include <chrono>    // hours
 #include <utility>   // move
 
@@ -73,24 +73,38 @@
     return nullptr;
 }
 
-std::vector<std::shared_ptr<waiting_watch>> watch_gate::unproven_watches() const
+std::vector<std::shared_ptr<waiting_watch>>
+watch_gate::incomplete_watches(const revision_times& revisions,
+                               time_point_t needed) const
 {
     std::vector<std::shared_ptr<waiting_watch>> found;
     for (const auto& each : m_watches)
-        if (auto watch = each.lock();
-            watch && !watch->proven && !watch->target.empty())
+    {
+        auto watch = each.lock();
+        if (!watch || watch->target.empty())
+            continue;
+        const auto until = rhubarbgrade::complete_until(*watch, revisions);
+        if (!until || *until < needed)
             found.push_back(std::move(watch));
+    }
     return found;
 }
 
-bool watch_gate::proven() const
+std::optional<time_point_t>
+watch_gate::complete_until(const revision_times& revisions) const
 {
-    return std::all_of(m_watches.begin(), m_watches.end(),
-                       [](const auto& each)
-                       {
-                           const auto watch = each.lock();
-                           return watch && watch->proven;
-                       });
+    std::optional<time_point_t> earliest;
+    for (const auto& each : m_watches)
+    {
+        const auto watch = each.lock();
+        const auto until = watch
+                               ? rhubarbgrade::complete_until(*watch, revisions)
+                               : std::nullopt;
+        if (!until)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(*until), *until);
+    }
+    return earliest;
 }
 
 asio::awaitable<void> watch_gate::wait_until_open()
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -1,20 +1,22 @@
 #pragma once
 
-#include <cstddef> // size_t
-#include <cstdint> // uint64_t
-#include <memory>  // shared_ptr, weak_ptr
-#include <set>     // set
-#include <vector>  // vector
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <memory>   // shared_ptr, weak_ptr
+#include <optional> // optional
+#include <set>      // set
+#include <vector>   // vector
 
 #include <boost/asio/any_io_executor.hpp> // any_io_executor
 #include <boost/asio/awaitable.hpp>       // awaitable
 #include <boost/asio/steady_timer.hpp>    // steady_timer
 
-#include <rhubarbgrade/detail/base/types.hpp> // milliseconds
+#include <rhubarbgrade/detail/base/types.hpp> // milliseconds, time_point_t
 
 namespace rhubarbgrade
 {
 
+class revision_times;
 struct waiting_watch;
 
 /// @brief Says whether watches of the store go on, ends their pauses, and knows
@@ -56,11 +58,16 @@
     ///        those that wait for a response; null if none does.
     std::shared_ptr<waiting_watch> next_watch();
 
-    /// @brief The watches that wait for a response and aren't proven.
-    std::vector<std::shared_ptr<waiting_watch>> unproven_watches() const;
+    /// @brief The watches that wait for a response and aren't known to be
+    ///        complete up to a time.
+    std::vector<std::shared_ptr<waiting_watch>>
+    incomplete_watches(const revision_times& revisions,
+                       time_point_t needed) const;
 
-    /// @brief Whether all watches are proven, see @ref waiting_watch.
-    bool proven() const;
+    /// @brief Time up to which all watches are complete; empty if one of them
+    ///        has shown nothing yet.
+    std::optional<time_point_t>
+    complete_until(const revision_times& revisions) const;
 
 private:
     boost::asio::any_io_executor m_executor;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -87,6 +87,7 @@
         const bool first = cursor.after().empty();
         auto target =
             platform::list_target(kind, cursor.after(), stale_allowed);
+        const auto began = time_point_t::clock::now();
         auto response = co_await store.call(
             call_purpose::list, verb::get, std::move(target), {}, list_timeout);
         if (!response.is(200))
@@ -104,13 +105,14 @@
             co_return std::nullopt;
         }
         response.body = std::string();
+        if (!stale_allowed)
+            store.record_revision(response.era, page->revision, began);
         unreadable += page->unreadable;
         // Pages of two eras of the store are no list.
         if (first)
             era = store.era();
         if (store.era() != era)
             co_return std::nullopt;
-        store.learn_revision(page->revision);
         for (const auto& each : page->objects)
             listener.listed(each);
         objects += page->objects.size();
@@ -152,6 +154,14 @@
     relist, ///< the kind has to be listed again
 };
 
+/// Changes of a kind, maybe none.
+struct awaited_changes
+{
+    platform::event_page page;
+    /// With them, all is known that the store had accepted before.
+    std::optional<time_point_t> complete_until;
+};
+
 /// What a watch keeps from call to call.
 struct watch_progress
 {
@@ -162,12 +172,11 @@
 
 /// Waits for changes. They are taken from a check if that has received them
 /// before the watch.
-/// @param[out] page  the changes
 asio::awaitable<watch_step> await_changes(store_client& store, watch_gate& gate,
                                           waiting_watch& waiting,
                                           const watch_listener& listener,
                                           watch_progress& progress,
-                                          platform::event_page& page)
+                                          awaited_changes& awaited)
 {
     constexpr unsigned gone = 410;
     const auto started = time_point_t::clock::now();
@@ -178,14 +187,19 @@
         co_await store.call(call_purpose::watch, verb::get, waiting.target, {},
                             watch_wait + progress.margin);
     waiting.target.clear();
-    page = std::exchange(waiting.changes, {});
+    awaited = {std::exchange(waiting.changes, {}),
+               std::exchange(waiting.complete_with_changes, std::nullopt)};
+    if (std::exchange(waiting.outdated, false) && !response.is(200))
+    {
+        waiting.overtaken = false;
+        co_return watch_step::relist;
+    }
     if (std::exchange(waiting.overtaken, false) && !response.is(200))
     {
         progress.pauses.reset();
         co_return store.era() == progress.era ? watch_step::report
                                               : watch_step::relist;
     }
-    waiting.proven = response.is(200);
     if (gate.renewals() != renewals && response.end != call_outcome::answered)
         co_return watch_step::retry;
     progress.margin = next_watch_margin(progress.margin, response.end);
@@ -213,7 +227,14 @@
         co_await gate.pause(progress.pauses.next());
         co_return watch_step::relist;
     }
-    page = std::move(*decoded);
+    const auto now = time_point_t::clock::now();
+    awaited = {std::move(*decoded), started};
+    // The store has waited for changes up to the end of that time.
+    if (awaited.page.events.empty() && awaited.page.unreadable == 0 &&
+        now - started >= watch_wait)
+        awaited.complete_until = started + watch_wait;
+    store.record_revision(response.era, awaited.page.revision,
+                          *awaited.complete_until);
     co_return watch_step::report;
 }
 
@@ -229,27 +250,31 @@
     bool changed = false;
     watch_progress progress;
     progress.era = store.era();
+    waiting.era = progress.era;
     waiting.revision = list.revision;
     for (;;)
     {
         // What others have told meanwhile proves nothing of this watch.
-        waiting.proven = waiting.proven && gate.open();
+        if (!gate.open())
+            waiting.complete_until.reset();
         co_await gate.wait_until_open();
         if (store.era() != progress.era)
             co_return;
         if (listener.known_up_to)
             waiting.revision =
                 std::max(waiting.revision, listener.known_up_to());
-        platform::event_page page;
+        awaited_changes awaited;
         const auto step = co_await await_changes(store, gate, waiting, listener,
-                                                 progress, page);
+                                                 progress, awaited);
         if (step == watch_step::relist)
             co_return;
         if (step == watch_step::retry)
             continue;
-        waiting.revision = page.revision;
-        store.learn_revision(page.revision);
+        const auto& page = awaited.page;
         report_changes(page, waiting.kind, listener);
+        waiting.revision = std::max(waiting.revision, page.revision);
+        waiting.complete_until =
+            std::max(waiting.complete_until, awaited.complete_until);
         changed = changed || !page.events.empty() || page.unreadable != 0;
         if (!list.complete && changed &&
             time_point_t::clock::now() >= relist_at)
@@ -273,12 +298,14 @@
         if (!gate.open() && listener.known())
             co_await gate.wait_until_open();
         const bool stale_allowed = !gate.open();
-        waiting->proven = false;
+        waiting->complete_until.reset();
         listener.list_reset();
+        const auto began = time_point_t::clock::now();
         const auto list =
             co_await read_list(store, kind, stale_allowed, listener);
         // Without the gate, an answer tells nothing of a later state.
-        waiting->proven = !stale_allowed && list;
+        if (!stale_allowed && list)
+            waiting->complete_until = began;
         if (!stale_allowed)
             listener.answered(list.has_value());
         if (!list)
--- a/tests/integration/integration-cut-watches.cpp
+++ b/tests/integration/integration-cut-watches.cpp
@@ -1,6 +1,8 @@
 // Watches of the store that are cut off, or lose their response, while it
 // answers all other calls.
 
+#include <algorithm>
+#include <map>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -216,3 +218,129 @@
     site.publish_configuration(2, nlohmann::json::object());
     check_avoided(site);
 }
+
+namespace
+{
+
+/// Without budgets hosts write no account, so that no write of their own tells
+/// them a later revision.
+nlohmann::json without_budgets()
+{
+    return {{"tenants", {{{"name", "clerks"}, {"apiKeys", {"k1"}}}}}};
+}
+
+/// Number of watches that hosts have begun, by kind.
+std::map<std::string, int> begun_watches(const installation& site)
+{
+    const auto response = site.store_client().Get("/watches");
+    REQUIRE(response);
+    return nlohmann::json::parse(response->body);
+}
+
+/// Lets the store lose the next response to a watch of a kind, and answer from
+/// old copies what may be. All watches have just begun, so that none ends soon
+/// and tells the present revision.
+void lose_response(const installation& site, const std::string& kind)
+{
+    constexpr std::size_t kinds = 4;
+    REQUIRE(wait_until(
+        [&]
+        {
+            return begun_watches(site).size() == kinds;
+        },
+        20000));
+    REQUIRE(wait_until(
+        [&, before = begun_watches(site)]
+        {
+            const auto now = begun_watches(site);
+            return std::all_of(now.begin(), now.end(),
+                               [&](const auto& each)
+                               {
+                                   return each.second > before.at(each.first);
+                               });
+        },
+        20000));
+    site.set_store_fault({{"save", true},
+                          {"stale", "all"},
+                          {"lose_watches", 1},
+                          {"lost_kind", kind}});
+}
+
+} // namespace
+
+// Guards against a proof without a time: a copy from before the loss shows no
+// changes, and while nothing else is written no later revision is known either.
+// Hosts sent requests to a leaving endpoint for up to 8 s, and counted their
+// state as current.
+TEST_CASE("a lost response is found while copies are old and nothing else is "
+          "written",
+          "[watches][lost][old]")
+{
+    installation site(without_budgets());
+    start_hosts(site);
+    // The second loss in a row must be found as fast as the first one.
+    for (int losses = 0; losses < 2; ++losses)
+    {
+        lose_response(site, "servers");
+        site.list_replica("i-2", "desk", "draining");
+        check_avoided(site);
+        site.list_replica("i-2", "desk", "ready");
+        REQUIRE(wait_until(
+            [&]
+            {
+                return !avoids(site, "h1", "i-2") && !avoids(site, "h2", "i-2");
+            },
+            20000));
+    }
+}
+
+TEST_CASE("a lost configuration is found while copies are old",
+          "[watches][lost][old]")
+{
+    installation site(without_budgets());
+    start_hosts(site);
+    lose_response(site, "config");
+    site.publish_configuration(2, {{"routes", nlohmann::json::array()}});
+    CHECK(wait_until(
+        [&]
+        {
+            return site.call("h1", "/read/x")->status == 404 &&
+                   site.call("h2", "/read/x")->status == 404;
+        },
+        contact_ms));
+}
+
+TEST_CASE("a lost evacuation is found while copies are old",
+          "[watches][lost][old]")
+{
+    installation site(without_budgets());
+    start_hosts(site);
+    lose_response(site, "evacuations");
+    site.upsert_object("evacuations", "z1", nlohmann::json::object());
+    CHECK(wait_until(
+        [&]
+        {
+            return site.call("h1", "/read/x")->status == 503 &&
+                   site.call("h2", "/read/x")->status == 503;
+        },
+        contact_ms));
+}
+
+TEST_CASE("a lost move is found while copies are old", "[watches][lost][old]")
+{
+    installation site(without_budgets());
+    start_hosts(site);
+    lose_response(site, "rollouts");
+    site.upsert_object(
+        "rollouts", "desk",
+        {{"service", "desk"}, {"target", "v2"}, {"durationS", 1}});
+    // The move itself ends a second after a host has learned of it.
+    CHECK(wait_until(
+        [&]
+        {
+            return (site.log_text("h1") + site.log_text("h2"))
+                       .find("event=move_decided service=desk") !=
+                   std::string::npos;
+        },
+        contact_ms + 1000));
+}
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -16,6 +16,7 @@
 //               endpoints have written; on the port "viewN", only there
 //   GET /calls  (tests) {KIND: {applied, refused}}, writes of objects by kind;
 //               refused: for an outdated revision
+//   GET /watches  (tests) {KIND: number of watches that hosts have begun}
 //   GET /cost  (tests) {tenths}: calls of hosts for objects so far, refused
 //               ones included; one that allows an old response counts one
 //               tenth, others ten
@@ -347,6 +348,12 @@
                      {
                          send_json(response, 200, m_store.calls());
                      });
+        m_server.Get("/watches",
+                     [this](const auto&, auto& response)
+                     {
+                         const std::lock_guard lock(m_mutex);
+                         send_json(response, 200, m_watches);
+                     });
         m_server.Get(
             "/cost",
             [this](const auto&, auto& response)
@@ -511,8 +518,10 @@
             return send_json(response, 200,
                              m_store.copied_changes(kind, since));
         bool cut = false;
-        auto found = m_store.watch(kind, since, wait, cut);
         constexpr milliseconds waiting(1000);
+        if (wait >= waiting)
+            count_watch(kind);
+        auto found = m_store.watch(kind, since, wait, cut);
         if (wait >= waiting && found && !(*found)["events"].empty() &&
             consume_lost_watch(kind))
             standin::delay(lost_time);
@@ -565,6 +574,12 @@
                (m_faults.stale == "later" && later_page);
     }
 
+    void count_watch(const std::string& kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_watches[kind] = m_watches.value(kind, 0) + 1;
+    }
+
     // Whether to lose the response to a watch; counts it off if so.
     bool consume_lost_watch(const std::string& kind)
     {
@@ -604,6 +619,7 @@
     std::mutex m_mutex;
     faults m_faults;
     json m_addresses = json::object(); ///< by the name of the entry
+    json m_watches = json::object();   ///< that have begun, by kind
     httplib::Server m_server;
 };
 
--- a/tests/unit/unit-adapter.cpp
+++ b/tests/unit/unit-adapter.cpp
@@ -281,15 +281,21 @@
     CHECK(margin == min_watch_margin);
 }
 
-TEST_CASE("a watch counts as sound only by a copy that is not known to be old",
+TEST_CASE("a watch counts as sound only by a copy that is known to be recent",
           "[adapter]")
 {
-    CHECK(judge_watch({false, 100, 100}) == watch_verdict::stands);
-    CHECK(judge_watch({false, 120, 100}) == watch_verdict::stands);
-    CHECK(judge_watch({false, 99, 100}) == watch_verdict::unknown);
+    const time_point_t needed = time_point_t() + milliseconds(1000);
+    const auto recent = needed + milliseconds(1);
+    const auto old = needed - milliseconds(1);
+    CHECK(judge_watch({false, recent, needed}) == watch_verdict::stands);
+    CHECK(judge_watch({false, needed, needed}) == watch_verdict::stands);
+    CHECK(judge_watch({false, old, needed}) == watch_verdict::unknown);
+    CHECK(judge_watch({false, std::nullopt, needed}) == watch_verdict::unknown);
     // Changes have happened, however old the copy is.
-    CHECK(judge_watch({true, 99, 100}) == watch_verdict::overtaken);
-    CHECK(judge_watch({true, 120, 100}) == watch_verdict::overtaken);
+    CHECK(judge_watch({true, old, needed}) == watch_verdict::overtaken);
+    CHECK(judge_watch({true, std::nullopt, needed}) ==
+          watch_verdict::overtaken);
+    CHECK(judge_watch({true, recent, needed}) == watch_verdict::overtaken);
 }
 
 TEST_CASE("changes of the escrow account round-trip through their datagrams",
--- a/tests/unit/unit-tasks.cpp
+++ b/tests/unit/unit-tasks.cpp
@@ -40,24 +40,27 @@
 {
     asio::io_context loop;
     watch_gate gate(loop.get_executor());
+    const revision_times times;
+    const auto begin = time_point_t::clock::now();
     auto first = std::make_shared<waiting_watch>();
     auto second = std::make_shared<waiting_watch>();
     for (const auto& each : {first, second})
     {
-        each->proven = true;
+        each->complete_until = begin;
         gate.add(each);
     }
-    CHECK(gate.proven());
+    first->complete_until = begin + milliseconds(1);
+    CHECK(gate.complete_until(times) == begin);
     first.reset();
     second.reset();
-    CHECK_FALSE(gate.proven());
+    CHECK_FALSE(gate.complete_until(times));
     // Started again, it has to be proven anew.
     const auto third = std::make_shared<waiting_watch>();
     gate.add(third);
-    CHECK_FALSE(gate.proven());
-    third->proven = true;
-    CHECK_FALSE(gate.proven());
+    CHECK_FALSE(gate.complete_until(times));
+    third->complete_until = begin;
+    CHECK_FALSE(gate.complete_until(times));
     const auto fourth = std::make_shared<waiting_watch>(*third);
     gate.add(fourth);
-    CHECK(gate.proven());
+    CHECK(gate.complete_until(times) == begin);
 }
