Watches that a check has ended aren't checked again at once

A check that has received changes, or learned that the history is gone, ends its watch, which then goes on behind them. Until it does, the second round of checks would ask for the same once more, at the full price. Callers see no difference.

Change: such watches are left out of that round; reader_age_limit has a name of its own beside max_reader_age().

--- a/include/rhubarbgrade/detail/membership/reader_choice.hpp
+++ b/include/rhubarbgrade/detail/membership/reader_choice.hpp
@@ -39,7 +39,7 @@
     milliseconds news_time{150};
     /// Upper bound of the age of a reader's own state: from 2.6 s on, hosts
     /// look for a newer one, and a check may be late.
-    milliseconds max_reader_age{2100};
+    milliseconds reader_age_limit{2100};
 };
 
 /// @brief Chooses the host that reads the store for its zone.
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -79,7 +79,7 @@
 
 milliseconds max_reader_age(const reader_policy& policy)
 {
-    return std::min(policy.max_reader_age,
+    return std::min(policy.reader_age_limit,
                     max_state_age(1, policy) - policy.news_time);
 }
 
--- a/src/store/watch_gate.cpp
+++ b/src/store/watch_gate.cpp
@@ -81,7 +81,8 @@
     for (const auto& each : m_watches)
     {
         auto watch = each.lock();
-        if (!watch || watch->target.empty())
+        if (!watch || watch->target.empty() || watch->overtaken ||
+            watch->outdated)
             continue;
         const auto until = rhubarbgrade::complete_until(*watch, revisions);
         if (!until || *until < needed)
--- a/src/store/watch_gate.hpp
+++ b/src/store/watch_gate.hpp
@@ -59,7 +59,7 @@
     std::shared_ptr<waiting_watch> next_watch();
 
     /// @brief The watches that wait for a response and aren't known to be
-    ///        complete up to a time.
+    ///        complete up to a time, without those that a check has ended.
     std::vector<std::shared_ptr<waiting_watch>>
     incomplete_watches(const revision_times& revisions,
                        time_point_t needed) const;
