Output that can't be counted is charged to a budget as its limit

"10, 200" in Token-Usage was read as no limit and charged as none.

Cause: the whole limit was reserved, and the settlement charged what this host could count in its place; what it can't count was taken for nothing.

Change: tokens_charged(), without I/O, charges the whole limit for a success that isn't counted as events, also one that was cut; nothing more than the prompt for a failure of the endpoint, which delivers no output. A request that a budget pays for, to a service with an engine, has to name a readable bound in one field; else it is refused at once with 400 (event=unbounded_refusal, unbounded in event=traffic). More than the whole budget is refused at once with 402, and sums can't exceed the range of numbers any more.

--- a/src/gateway/answer_writer.cpp
+++ b/src/gateway/answer_writer.cpp
@@ -30,6 +30,11 @@
 
 constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
 
+bool is_success(unsigned status)
+{
+    return status / 100 == 2;
+}
+
 /// The event's "id" field as a number; empty if it has no numeric id.
 std::optional<std::uint64_t> event_id(std::string_view event)
 {
@@ -76,6 +81,8 @@
 asio::awaitable<bool> response_writer::write_complete(caller_response_t message)
 {
     m_begun = true;
+    m_uncounted_output =
+        is_success(message.result_int()) && !message.body().empty();
     message.keep_alive(decide_keep_alive(true));
     if (!co_await m_session.begin_write(message.body().size(), true))
         co_return false;
@@ -92,6 +99,7 @@
     constexpr unsigned http_1_1 = 11;
     m_begun = true;
     m_events_begun = is_event_stream;
+    m_uncounted_output = is_success(status) && !is_event_stream;
     http::response<http::empty_body> head;
     head.version(http_1_1);
     head.result(status);
--- a/src/gateway/answer_writer.hpp
+++ b/src/gateway/answer_writer.hpp
@@ -97,6 +97,13 @@
         return m_endpoint_failed;
     }
 
+    /// Whether a part of a success may have been written that isn't an event
+    /// stream, so that nothing tells how many tokens it has.
+    bool uncounted_output() const
+    {
+        return m_uncounted_output;
+    }
+
     /// Events accepted for the caller so far.
     std::uint64_t event_count() const
     {
@@ -126,6 +133,7 @@
     bool m_begun = false;
     bool m_close_delimited = false;
     bool m_events_begun = false;
+    bool m_uncounted_output = false;
     bool m_endpoint_failed = false;
     bool m_resuming = false; ///< no event of the resumed stream has come yet
     std::uint64_t m_event_count = 0;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -15,6 +15,7 @@
 #include <spdlog/spdlog.h>  // warn
 
 #include <rhubarbgrade/detail/base/hash.hpp>              // hash64
+#include <rhubarbgrade/detail/escrow/token_charge.hpp>    // tokens_charged
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // admit
 #include <rhubarbgrade/detail/routing/hedge.hpp>          // may_hedge
 #include <rhubarbgrade/detail/routing/planned_stop.hpp>   // may_begin
@@ -34,6 +35,7 @@
 
 constexpr unsigned http_1_1 = 11;
 
+constexpr unsigned bad_request = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned payment_required = 402;
 constexpr unsigned not_found = 404;
@@ -104,16 +106,6 @@
     return matched_route.services.back().service;
 }
 
-/// Tokens charged for each event of a stream; the request's whole limit if the
-/// service has no engine configured.
-token_count_t charged_tokens_per_event(const pool_service& service,
-                                       const platform::call_head& head)
-{
-    if (const auto& engine = service.engine)
-        return engine->tokens_per_event;
-    return head.answer_tokens_limit;
-}
-
 local_response quarantine_response()
 {
     return {unavailable, "requests like this one have crashed endpoints",
@@ -293,6 +285,8 @@
     if (is_quarantined())
         return quarantine_response();
     m_service = pick_service(*m_route, m_context.random);
+    if (has_budget() && runs_on_engine() && !m_head.tokens_known)
+        return unbounded_response();
     const auto wait = m_head.deadline
                           ? std::min(*m_head.deadline, m_route->timeout)
                           : m_route->timeout;
@@ -307,13 +301,16 @@
 
 asio::awaitable<bool> caller_exchange::reserve_tokens()
 {
-    const auto max_tokens = m_head.prompt_tokens + m_head.answer_tokens_limit;
-    if (m_customer == nullptr || !m_customer->prepaid || max_tokens == 0)
+    const auto max_tokens = most_tokens(limits_of_tokens());
+    if (!has_budget() || max_tokens == 0)
         co_return true;
     const auto until =
         std::min(m_deadline, m_started + m_route->objective / wait_divisor);
-    const auto outcome =
-        co_await m_context.wallets.reserve(m_customer->name, max_tokens, until);
+    // More than the whole budget can't be reserved, however long it waits.
+    auto outcome = reserve_result::exhausted;
+    if (max_tokens <= m_customer->prepaid.value_or(0))
+        outcome = co_await m_context.wallets.reserve(m_customer->name,
+                                                     max_tokens, until);
     if (outcome == reserve_result::reserved)
     {
         m_reserved_tokens = max_tokens;
@@ -334,23 +331,38 @@
 {
     if (m_reserved_tokens == 0)
         return;
-    token_count_t used = 0;
-    if (m_may_have_run)
-    {
-        const auto& services = m_view->configuration->services;
-        const auto service = services.find(m_service);
-        const auto tokens_per_event =
-            service == services.end()
-                ? m_head.answer_tokens_limit
-                : charged_tokens_per_event(service->second, m_head);
-        used = m_head.prompt_tokens +
-               std::min(m_head.answer_tokens_limit,
-                        m_writer.event_count() * tokens_per_event);
-    }
+    const auto used = tokens_charged(
+        limits_of_tokens(),
+        {m_may_have_run, m_writer.event_count(), m_writer.uncounted_output()});
     m_context.wallets.settle(m_customer->name, m_reserved_tokens, used);
     m_reserved_tokens = 0;
 }
 
+bool caller_exchange::has_budget() const
+{
+    return m_customer != nullptr && m_customer->prepaid;
+}
+
+token_limits caller_exchange::limits_of_tokens() const
+{
+    token_limits limits{m_head.prompt_tokens, m_head.answer_tokens_limit,
+                        m_head.answer_tokens_limit};
+    const auto& services = m_view->configuration->services;
+    const auto service = services.find(m_service);
+    if (service == services.end())
+        return limits;
+    if (const auto& engine = service->second.engine)
+        limits.tokens_per_event = engine->tokens_per_event;
+    return limits;
+}
+
+bool caller_exchange::runs_on_engine() const
+{
+    const auto& services = m_view->configuration->services;
+    const auto service = services.find(m_service);
+    return service != services.end() && service->second.engine;
+}
+
 endpoint_criteria caller_exchange::make_criteria() const
 {
     endpoint_criteria criteria;
@@ -384,6 +396,14 @@
     }
 }
 
+local_response caller_exchange::unbounded_response()
+{
+    ++m_context.counters.unbounded;
+    spdlog::info("event=unbounded_refusal request={} customer={} service={}",
+                 m_head.id, m_customer->name, m_service);
+    return {bad_request, platform::unknown_tokens_text, {}};
+}
+
 local_response caller_exchange::capacity_response(milliseconds wait)
 {
     ++m_context.counters.no_capacity;
--- a/src/gateway/caller_exchange.hpp
+++ b/src/gateway/caller_exchange.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <platform/caller_codec.hpp> // response_head, call_head
+#include <rhubarbgrade/detail/escrow/token_charge.hpp>    // token_limits
 #include <rhubarbgrade/detail/routing/crash_evidence.hpp> // crash_suspects_t
 
 #include "answer_writer.hpp"    // response_writer
@@ -125,8 +126,17 @@
                                const attempt_report& report);
     /// Counts and logs a request that ends without a whole answer.
     void record_unanswered();
-    /// Releases the reservation; charges the prompt and the events written.
+    /// Releases the reservation; charges the prompt and what was written, see
+    /// @ref tokens_charged.
     void settle();
+    /// Whether a prepaid budget pays for the request.
+    bool has_budget() const;
+    /// What the request may use; of an event, all if its service has no engine
+    /// configured.
+    token_limits limits_of_tokens() const;
+    bool runs_on_engine() const;
+    /// Refuses a request that could use any number of tokens.
+    local_response unbounded_response();
     void record_sample(const pool_endpoint& endpoint,
                        const attempt_report& report);
     milliseconds random_retry_after();
--- a/src/gateway/traffic_context.hpp
+++ b/src/gateway/traffic_context.hpp
@@ -53,6 +53,7 @@
     std::uint64_t unanswered = 0;   ///< ended without a whole answer
     std::uint64_t discarded = 0;    ///< connections closed with unserved input
     // Refusals by cause.
+    std::uint64_t unbounded = 0;   ///< a budget pays, no limit of tokens
     std::uint64_t exhausted = 0;   ///< the budget is used up
     std::uint64_t undrawn = 0;     ///< the holding is too small
     std::uint64_t unconfirmed = 0; ///< the witness has not confirmed enough
--- a/src/gateway/traffic_loop.cpp
+++ b/src/gateway/traffic_loop.cpp
@@ -362,7 +362,7 @@
     const auto& counters = m_context.counters;
     spdlog::info("event=traffic requests={} answered={} refused={} failed={} "
                  "retried={} disconnected={} unanswered={} discarded={} "
-                 "exhausted={} undrawn={} "
+                 "unbounded={} exhausted={} undrawn={} "
                  "unconfirmed={} no_draws={} no_endpoint={} quarantined={} "
                  "no_capacity={} no_path={} no_room={} relayed={} "
                  "in_flight={} connections={} held_kb={} shed={} "
@@ -370,9 +370,9 @@
                  "hedges_won={}",
                  counters.requests, counters.answered, counters.refused,
                  counters.failed, counters.retried, counters.disconnected,
-                 counters.unanswered, counters.discarded, counters.exhausted,
-                 counters.undrawn, counters.unconfirmed, counters.no_draws,
-                 counters.no_endpoint, counters.quarantined,
+                 counters.unanswered, counters.discarded, counters.unbounded,
+                 counters.exhausted, counters.undrawn, counters.unconfirmed,
+                 counters.no_draws, counters.no_endpoint, counters.quarantined,
                  counters.no_capacity, counters.no_path, counters.no_room,
                  m_context.relays.size(), m_context.in_flight,
                  m_context.sessions.size(),
--- a/src/gateway/wallet_table.cpp
+++ b/src/gateway/wallet_table.cpp
@@ -23,7 +23,16 @@
 /// Whether @a max_tokens more can be reserved.
 bool fits(const wallet_state& state, token_count_t max_tokens)
 {
-    return state.reserved + state.used + max_tokens <= state.drawn;
+    // The sum may exceed the range of numbers.
+    return max_tokens <= state.drawn &&
+           state.reserved + state.used <= state.drawn - max_tokens;
+}
+
+/// Whether the rest of a budget is certainly too small for @a max_tokens.
+bool exceeds(const budget_status& budget, token_count_t max_tokens)
+{
+    return max_tokens > budget.prepaid ||
+           budget.known_used > budget.prepaid - max_tokens;
 }
 
 reserve_result cause_of_shortage(const budget_status& budget)
@@ -69,8 +78,7 @@
     account.state.largest = std::max(account.state.largest, max_tokens);
     while (!fits(account.state, max_tokens))
     {
-        if (account.budget_known &&
-            account.budget.known_used + max_tokens > account.budget.prepaid)
+        if (account.budget_known && exceeds(account.budget, max_tokens))
             co_return reserve_result::exhausted;
         const auto now = time_point_t::clock::now();
         const bool refill_possible =
--- a/tests/integration/integration-members.cpp
+++ b/tests/integration/integration-members.cpp
@@ -96,7 +96,8 @@
                 },
                 30000));
         CHECK(all_know(site, hosts));
-        const auto answer = site.call(host_name(0), "/stream/x");
+        const auto answer =
+            site.call(host_name(0), "/stream/x", {{"Token-Usage", "10,6"}});
         REQUIRE(answer);
         CHECK(answer->status == 200);
     }
--- a/tests/integration/integration-node.cpp
+++ b/tests/integration/integration-node.cpp
@@ -242,7 +242,9 @@
     CHECK(wait_until(
         [&]
         {
-            const auto sound = site.call("h1", "/stream/x");
+            // A customer without a budget needs no bound of the tokens.
+            const auto sound =
+                site.call("h1", "/stream/x", {{"Authorization", "Token k2"}});
             if (sound && sound->status == 200)
             {
                 CHECK(sound->body == stream_text(1, 6));
@@ -250,7 +252,8 @@
             }
             const auto broken = site.call(
                 "h1", "/stream/y",
-                {{"Prefix-Hash", site.next_id().substr(1) + "bad:9,e1:1"}});
+                {{"Authorization", "Token k2"},
+                 {"Prefix-Hash", site.next_id().substr(1) + "bad:9,e1:1"}});
             // Nothing of the first event has been passed on, or two events.
             CHECK_FALSE((broken && broken->status == 200));
             if (!broken)
